--- /dev/null
+++ b/src/bookkeeping/state_client.cpp
@@ -0,0 +1,70 @@
+#include "bookkeeping/state_client.h"
+
+#include <spdlog/spdlog.h>
+
+namespace weirmill {
+
+namespace asio = boost::asio;
+constexpr size_t kMaxPage = 1024 * 1024;
+constexpr size_t kMaxWatch = 4 * 1024 * 1024;
+
+StateClient::StateClient(asio::io_context& io, const Settings& s)
+    : calls_(io, s.state, kMaxPage), leases_(io, s.state, kMaxPage), watches_(io, s.state, kMaxWatch) {}
+
+template <class F>
+asio::awaitable<StateResult<std::invoke_result_t<F, std::string_view>>> StateClient::ask(
+    HttpClient& via, const char* method, std::string target, std::string body, double timeout_s, F parse) {
+    StateResult<std::invoke_result_t<F, std::string_view>> out;
+    auto answer = co_await via.request(method, target, std::move(body), timeout_s);
+    if (!answer) co_return out;
+    try {
+        switch (answer->status) {
+            case 200:
+                out.value = parse(std::string_view(answer->body));
+                out.outcome = StateOutcome::Ok;
+                break;
+            case 409:
+                out.failed = parse_failed(answer->body);
+                out.outcome = StateOutcome::Conflict;
+                break;
+            case 404: out.outcome = StateOutcome::Missing; break;
+            case 429:
+            case 503: out.outcome = StateOutcome::Refused; break;
+            default:
+                spdlog::error("state: {} {} answered {}: {}", method, target, answer->status, answer->body.substr(0, 200));
+                out.outcome = StateOutcome::Invalid;
+        }
+    } catch (const BadMessage& e) {
+        spdlog::error("state: malformed answer to {} {}: {}", method, target, e.what());
+        out.outcome = StateOutcome::Unknown;
+    }
+    co_return out;
+}
+
+asio::awaitable<StateResult<StateItem>> StateClient::get(std::string key, double timeout_s) {
+    return ask(calls_, "GET", state_key_target(key), "", timeout_s, parse_state_item);
+}
+
+asio::awaitable<StateResult<StatePage>> StateClient::list(std::string prefix, std::string after, int limit, double timeout_s) {
+    return ask(calls_, "GET", state_list_target(prefix, after, limit), "", timeout_s, parse_state_page);
+}
+
+asio::awaitable<StateResult<uint64_t>> StateClient::txn(StateTxn t, double timeout_s) {
+    return ask(calls_, "POST", "/multi", txn_json(t), timeout_s, parse_revision);
+}
+
+asio::awaitable<StateResult<uint64_t>> StateClient::grant(double ttl_s, double timeout_s) {
+    return ask(leases_, "POST", "/leases", lease_json(static_cast<int64_t>(ttl_s * 1000)), timeout_s, parse_lease);
+}
+
+asio::awaitable<StateResult<bool>> StateClient::renew(uint64_t lease, double timeout_s) {
+    return ask(leases_, "POST", "/leases/" + std::to_string(lease) + "/renew", "", timeout_s,
+               [](std::string_view) { return true; });
+}
+
+asio::awaitable<StateResult<StateWatch>> StateClient::watch(std::string prefix, uint64_t after, double wait_s) {
+    return ask(watches_, "GET", state_watch_target(prefix, after, static_cast<int>(wait_s * 1000)), "", wait_s + 3,
+               parse_watch);
+}
+
+}  // namespace weirmill
--- /dev/null
+++ b/src/bookkeeping/state_client.h
@@ -0,0 +1,63 @@
+// Calls to the state service, within its rates. Every outcome is told apart; no answer is unknown.
+#pragma once
+#include <memory>
+#include <vector>
+
+#include "protocol/state_codec.h"
+#include "transport/http_client.h"
+
+namespace weirmill {
+
+enum class StateOutcome : uint8_t {
+    Ok,
+    Conflict,  // 409: a condition failed, nothing was changed
+    Missing,   // 404
+    Refused,   // 429, 503: not executed
+    Invalid,   // any other status: not executed
+    Unknown,   // no answer, or one that made no sense: executed, or not, or later
+};
+
+template <class T>
+struct StateResult {
+    StateOutcome outcome = StateOutcome::Unknown;
+    T value{};
+    std::vector<std::string> failed;  // Conflict: the keys
+    explicit operator bool() const { return outcome == StateOutcome::Ok; }
+};
+
+// A rate with bursts of one second's worth.
+class RateBudget {
+  public:
+    RateBudget(double per_s, double burst_s) : rate_(per_s), burst_(per_s * burst_s), level_(burst_) {}
+    double available(double now) {
+        if (last_ > 0) level_ = std::min(burst_, level_ + (now - last_) * rate_);
+        last_ = now;
+        return level_;
+    }
+    void take(double n) { level_ -= n; }
+    void drain() { level_ = std::min(level_, 0.0); }
+
+  private:
+    double rate_, burst_, level_, last_ = 0;
+};
+
+class StateClient {
+  public:
+    StateClient(boost::asio::io_context& io, const Settings& settings);
+
+    boost::asio::awaitable<StateResult<StateItem>> get(std::string key, double timeout_s);
+    boost::asio::awaitable<StateResult<StatePage>> list(std::string prefix, std::string after, int limit, double timeout_s);
+    boost::asio::awaitable<StateResult<uint64_t>> txn(StateTxn txn, double timeout_s);
+    boost::asio::awaitable<StateResult<uint64_t>> grant(double ttl_s, double timeout_s);
+    boost::asio::awaitable<StateResult<bool>> renew(uint64_t lease, double timeout_s);
+    boost::asio::awaitable<StateResult<StateWatch>> watch(std::string prefix, uint64_t after, double wait_s);
+
+  private:
+    template <class F>
+    boost::asio::awaitable<StateResult<std::invoke_result_t<F, std::string_view>>> ask(
+        HttpClient& via, const char* method, std::string target, std::string body, double timeout_s, F parse);
+
+    HttpClient calls_, leases_, watches_;
+};
+
+}  // namespace weirmill
--- /dev/null
+++ b/src/bookkeeping/tables.cpp
@@ -0,0 +1,222 @@
+#include "bookkeeping/tables.h"
+
+#include <algorithm>
+
+namespace weirmill {
+
+Tables::Tables(const Settings& settings) {
+    for (auto& t : settings.teams) {
+        names.teams.intern(t.name);
+        Team team;
+        team.settings = t;
+        team.guarantee = {milli_down(t.cpus), milli_down(t.gpus), 0};
+        team.limit = {milli_down(t.cpus_max), milli_down(t.gpus_max), 0};
+        teams.push_back(std::move(team));
+    }
+    for (auto& z : settings.zones) names.zones.intern(z);
+    // A placed task takes at most some 60 bytes of its chunk's value.
+    chunk_tasks = std::max(8u, static_cast<uint32_t>(settings.value_kb * 1024 / 64) - 4);
+    max_tasks = static_cast<size_t>(settings.mem_mb * 1e6 * 0.3 / sizeof(Task));
+}
+
+Index Tables::add_job(JobSpec spec, double submitted, double now) {
+    auto job = std::make_unique<Job>();
+    job->tasks.resize(spec.tasks);
+    job->chunks.resize((spec.tasks + chunk_tasks - 1) / chunk_tasks);
+    job->pending = spec.tasks;
+    job->submitted = submitted;
+    job->seen_at = now;
+    job->spec = std::move(spec);
+    task_count += job->tasks.size();
+    auto free = std::find(jobs.begin(), jobs.end(), nullptr);
+    if (free == jobs.end()) free = jobs.insert(jobs.end(), nullptr);
+    auto index = static_cast<Index>(free - jobs.begin());
+    job_index[job->spec.id] = index;
+    *free = std::move(job);
+    return index;
+}
+
+void Tables::remove_job(Index index) {
+    auto& job = *jobs[index];
+    for (uint32_t t = 0; t < job.tasks.size(); ++t)
+        if (job.tasks[t].state == TaskState::Placed) leave_machine(index, t, 0);
+    for (auto& m : machines)
+        if (m && m->reserved_for == index) m->reserved_for = kNone;
+    std::erase_if(changed_chunks, [&](auto& c) { return c.first == index; });
+    task_count -= job.tasks.size();
+    job_index.erase(job.spec.id);
+    jobs[index].reset();
+}
+
+void Tables::clear_work() {
+    jobs.clear();
+    machines.clear();
+    job_index.clear();
+    machine_index.clear();
+    changed_chunks.clear();
+    task_count = 0;
+    for (auto& t : teams) t.used = {};
+}
+
+Job* Tables::find_job(const std::string& id) {
+    auto it = job_index.find(id);
+    return it == job_index.end() ? nullptr : jobs[it->second].get();
+}
+
+Index Tables::add_machine(const std::string& name, double now) {
+    auto it = machine_index.find(name);
+    if (it != machine_index.end()) return it->second;
+    auto free = std::find(machines.begin(), machines.end(), nullptr);
+    if (free == machines.end()) free = machines.insert(machines.end(), nullptr);
+    *free = std::make_unique<Machine>();
+    (*free)->name = name;
+    (*free)->added = (*free)->rented = (*free)->empty_since = now;
+    auto index = static_cast<Index>(free - machines.begin());
+    machine_index[name] = index;
+    return index;
+}
+
+void Tables::remove_machine(Index index) {
+    machine_index.erase(machines[index]->name);
+    // A later machine may take this index: nothing of this one may be held against it.
+    for (auto& job : jobs)
+        if (job) job->failed_on.erase(index);
+    machines[index].reset();
+}
+
+Index Tables::find_machine(const std::string& name) const {
+    auto it = machine_index.find(name);
+    return it == machine_index.end() ? kNone : it->second;
+}
+
+void Tables::describe_machine(Machine& m, const std::string& type, const std::string& zone, bool spot) {
+    m.type = names.types.intern(type);
+    m.zone = names.zones.intern(zone);
+    m.spot = spot;
+    if (m.type < types.size() && types[m.type].offered) m.size = types[m.type].type.size;
+}
+
+void Tables::set_types(std::vector<MachineType> list) {
+    for (auto& t : list) {
+        auto index = names.types.intern(t.name);
+        if (types.size() <= index) types.resize(index + 1);
+        for (auto& z : t.zones) names.zones.intern(z);
+        types[index] = {true, std::move(t)};
+    }
+    types_known = true;
+    for (auto& m : machines)
+        if (m && m->type < types.size() && types[m->type].offered) m->size = types[m->type].type.size;
+}
+
+void Tables::touch(Index index, uint32_t task) {
+    auto& job = *jobs[index];
+    uint32_t c = task / chunk_tasks;
+    auto& chunk = job.chunks[c];
+    job.tasks[task].change = ++chunk.change;
+    if (!chunk.queued) {
+        chunk.queued = true;
+        changed_chunks.emplace_back(index, c);
+    }
+}
+
+void Tables::set_phase(Job& job, Task& task, TaskPhase phase) {
+    if ((task.phase == TaskPhase::Running) != (phase == TaskPhase::Running))
+        phase == TaskPhase::Running ? ++job.running : --job.running;
+    task.phase = phase;
+}
+
+void Tables::restore_placed(Index index, uint32_t t, Index machine, uint32_t attempt, uint32_t session) {
+    auto& job = *jobs[index];
+    auto& task = job.tasks[t];
+    task.state = TaskState::Placed;
+    task.machine = machine;
+    task.attempt = attempt;
+    task.session = session;
+    --job.pending, ++job.placed;
+    auto& m = *machines[machine];
+    m.used += job.spec.need;
+    m.tasks.push_back({index, t});
+    teams[job.spec.team].used += job.spec.need;
+}
+
+void Tables::place(Index index, uint32_t t, Index machine, uint32_t attempt, double now) {
+    restore_placed(index, t, machine, attempt, static_cast<uint32_t>(machines[machine]->session));
+    auto& task = jobs[index]->tasks[t];
+    task.start_seq = 0;
+    task.placed_at = static_cast<float>(now);
+    task.running_at = 0;
+    task.stopping = task.graceful = false;
+    touch(index, t);
+}
+
+void Tables::leave_machine(Index index, uint32_t t, double now) {
+    auto& job = *jobs[index];
+    auto& task = job.tasks[t];
+    auto& m = *machines[task.machine];
+    m.used -= job.spec.need;
+    std::erase(m.tasks, TaskRef{index, t});
+    if (m.tasks.empty()) m.empty_since = now;
+    teams[job.spec.team].used -= job.spec.need;
+    set_phase(job, task, TaskPhase::Unseen);
+    task.machine = kNone;
+    task.stopping = task.graceful = false;
+    --job.placed;
+}
+
+void Tables::vacate(Index index, uint32_t t, double now) {
+    leave_machine(index, t, now);
+    auto& job = *jobs[index];
+    job.tasks[t].state = TaskState::Pending;
+    ++job.pending;
+    job.first_pending = std::min(job.first_pending, t);
+    touch(index, t);
+}
+
+void Tables::finish(Index index, uint32_t t, double now) {
+    auto& job = *jobs[index];
+    auto& task = job.tasks[t];
+    if (task.state == TaskState::Done) return;
+    if (task.state == TaskState::Placed)
+        leave_machine(index, t, now);
+    else
+        --job.pending;
+    task.state = TaskState::Done;
+    ++job.done;
+    touch(index, t);
+}
+
+bool Tables::type_fits(const JobSpec& spec, Index type) const {
+    if (type >= types.size() || !types[type].offered) return false;
+    if (!spec.types.empty() && std::find(spec.types.begin(), spec.types.end(), type) == spec.types.end()) return false;
+    return spec.need.fits_in(types[type].type.size);
+}
+
+bool Tables::machine_allowed(const JobSpec& spec, const Machine& m) const {
+    if (m.spot && !spec.spot) return false;
+    if (spec.zone != kNone && spec.zone != m.zone) return false;
+    return type_fits(spec, m.type);
+}
+
+namespace {
+bool under(const Resources& cap, const Resources& use) {
+    return (cap.cpu == 0 || use.cpu <= cap.cpu) && (cap.gpu == 0 || use.gpu <= cap.gpu);
+}
+}  // namespace
+
+bool Tables::within_limit(const Team& team, const Resources& extra) const { return under(team.limit, team.used + extra); }
+
+bool Tables::within_guarantee(const Team& team, const Resources& extra) const {
+    auto use = team.used + extra;
+    // No guarantee at all means nothing is owed.
+    return use.cpu <= team.guarantee.cpu && use.gpu <= team.guarantee.gpu;
+}
+
+bool Tables::over_guarantee(const Team& team) const { return !within_guarantee(team, {}); }
+
+bool Tables::refused(Index type, Index zone, bool spot, double now) const {
+    return std::any_of(refusals.begin(), refusals.end(), [&](auto& r) {
+        return r.first > now && r.second == Refusal{type, zone, spot};
+    });
+}
+
+}  // namespace weirmill
--- /dev/null
+++ b/src/bookkeeping/tables.h
@@ -0,0 +1,168 @@
+// What the leader knows: jobs, machines, teams, machine types. Plain tables, no input or output.
+#pragma once
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "protocol/types.h"
+#include "settings/settings.h"
+
+namespace weirmill {
+
+enum class TaskState : uint8_t { Pending, Placed, Done };
+
+struct Task {
+    uint32_t attempt = 0;
+    Index machine = kNone;    // while Placed: the task may be there until proven gone
+    uint32_t session = 0;     // of that machine, when it was placed
+    uint32_t change = 0;      // the chunk's change number at this task's last change
+    uint64_t start_seq = 0;   // the report answered with its start, 0: none yet
+    float placed_at = 0, running_at = 0;
+    TaskState state = TaskState::Pending;
+    TaskPhase phase = TaskPhase::Unseen;
+    bool stopping = false;
+    bool graceful = false;  // stopping: with time to save
+};
+
+// Tasks are recorded in chunks, each one key of the state service.
+struct Chunk {
+    uint64_t version = 0;    // of its key, 0: not there
+    uint32_t change = 0;     // last change in memory
+    uint32_t committed = 0;  // last change recorded
+    bool queued = false;
+};
+
+struct Job {
+    JobSpec spec;
+    double submitted = 0;  // time of day, seconds
+    double seen_at = 0;    // steady clock of this leader
+    uint64_t version = 0;  // of its key, 0: not recorded yet
+    bool cancelled = false;
+    bool cancel_recorded = false;  // and so may be told
+    bool ending = false;  // its end is queued to be recorded
+    std::vector<Task> tasks;
+    std::vector<Chunk> chunks;
+    uint32_t pending = 0, placed = 0, done = 0, running = 0;
+    uint32_t first_pending = 0;  // no pending task lies below
+    bool gang_ending = false;    // the current attempt is over: every task of it must go first
+    uint32_t gang_attempt = 0;
+    double not_before = 0;  // back-off of a job that fails on good machines
+    uint32_t failures = 0;
+    std::set<Index> failed_on;
+    bool active() const { return version != 0 && !cancelled && !ending; }
+};
+
+struct TaskRef {
+    Index job = kNone;
+    uint32_t task = 0;
+    bool operator==(const TaskRef&) const = default;
+};
+
+struct ExitedEntry {
+    std::string job;
+    uint32_t task = 0;
+    uint64_t attempt = 0;
+    bool exited = true;
+};
+
+struct Machine {
+    std::string name, addr;
+    Index type = kNone, zone = kNone;
+    bool spot = false;
+    Resources size, used;
+    std::vector<TaskRef> tasks;       // all that may be on it
+    std::vector<ExitedEntry> strays;  // of the last report: exited entries, and tasks not expected there
+    // What its worker said.
+    bool up = false;  // has reported to this leader
+    uint64_t session = 0, seq = 0;
+    bool saw_token = false;
+    double last_report = 0, last_answer = 0;
+    double notice_until = -1;
+    // What the cloud said.
+    bool listed = false, missing = false;
+    MachineStatus status = MachineStatus::Booting;
+    double added = 0, rented = 0, missing_since = 0, up_at = 0;
+    // What is done with it.
+    bool returning = false, doomed = false;  // doomed: a boot given up, an expired lease
+    double quarantined_until = 0;
+    int faults = 0;
+    std::set<Index> faulty_jobs;
+    double empty_since = 0;
+    Index reserved_for = kNone;
+    double reserved_until = 0;
+    std::vector<Index> images;  // observed, most recent last
+    Resources room() const { return size - used; }
+};
+
+struct Team {
+    TeamSettings settings;
+    Resources guarantee, limit;  // 0: none
+    Resources used;
+};
+
+struct TypeInfo {
+    bool offered = false;
+    MachineType type;
+};
+
+struct Refusal {
+    Index type, zone;
+    bool spot;
+    auto operator<=>(const Refusal&) const = default;
+};
+
+class Tables {
+  public:
+    explicit Tables(const Settings& settings);
+
+    Names names;
+    std::vector<Team> teams;      // by team index
+    std::vector<TypeInfo> types;  // by type index
+    bool types_known = false;
+    std::vector<std::unique_ptr<Job>> jobs;          // by job index; null: free
+    std::vector<std::unique_ptr<Machine>> machines;  // by machine index; null: free
+    std::unordered_map<std::string, Index> job_index, machine_index;
+    std::vector<std::pair<double, Refusal>> refusals;  // until when not to ask again
+    uint32_t chunk_tasks;                              // tasks in a chunk
+    size_t task_count = 0, max_tasks;                  // over all jobs; what memory allows
+
+    Index add_job(JobSpec spec, double submitted, double now);
+    void remove_job(Index job);
+    void clear_work();  // jobs and machines, not what is offered
+    Job* find_job(const std::string& id);
+    Index add_machine(const std::string& name, double now);
+    void remove_machine(Index machine);
+    Index find_machine(const std::string& name) const;
+    void describe_machine(Machine& m, const std::string& type, const std::string& zone, bool spot);
+    void set_types(std::vector<MachineType> list);
+
+    // The only three ways a task changes its place. Each marks its chunk as changed.
+    void place(Index job, uint32_t task, Index machine, uint32_t attempt, double now);
+    void vacate(Index job, uint32_t task, double now);
+    void finish(Index job, uint32_t task, double now);
+    void restore_placed(Index job, uint32_t task, Index machine, uint32_t attempt, uint32_t session);
+
+    void set_phase(Job& job, Task& task, TaskPhase phase);
+    bool recorded(const Job& job, uint32_t task) const {
+        return job.tasks[task].change <= job.chunks[task / chunk_tasks].committed;
+    }
+    // Chunks changed and not yet queued for recording are handed out through this.
+    std::deque<std::pair<Index, uint32_t>> changed_chunks;
+
+    bool type_fits(const JobSpec& spec, Index type) const;
+    // Allowed by type, zone and kind, room aside.
+    bool machine_allowed(const JobSpec& spec, const Machine& m) const;
+    bool within_limit(const Team& team, const Resources& extra) const;
+    bool within_guarantee(const Team& team, const Resources& extra) const;
+    bool over_guarantee(const Team& team) const;
+    bool refused(Index type, Index zone, bool spot, double now) const;
+
+  private:
+    void touch(Index job, uint32_t task);
+    void leave_machine(Index job, uint32_t task, double now);
+};
+
+}  // namespace weirmill
--- /dev/null
+++ b/src/coordination/election.cpp
@@ -0,0 +1,157 @@
+#include "coordination/election.h"
+
+#include <spdlog/spdlog.h>
+
+#include <random>
+
+#include "bookkeeping/ledger.h"
+#include "transport/one_shot.h"
+
+namespace weirmill {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+constexpr double kCall_s = 1.0;
+double jitter(double low, double high) {
+    static std::mt19937_64 engine{std::random_device{}()};
+    return std::uniform_real_distribution<double>(low, high)(engine);
+}
+}  // namespace
+
+Election::Election(asio::io_context& io, const Settings& settings, const Properties& properties, StateClient& state,
+                   Events events)
+    : io_(io), settings_(settings), lease_s_(properties.election_lease_s), state_(state), events_(std::move(events)) {
+    asio::co_spawn(io, run(), asio::detached);
+}
+
+void Election::resign() {
+    if (tenure_) tenure_->ended = true;
+}
+
+void Election::learn(const std::string& leader, uint64_t token) {
+    if (leader != leader_ || token != token_)
+        spdlog::info("election: leader={} token={}", leader.empty() ? "none" : leader, token);
+    leader_ = leader;
+    token_ = token;
+}
+
+asio::awaitable<void> Election::run() {
+    double pause = 0;
+    for (;;) {
+        if (pause > 0) co_await sleep_s(pause);
+        if (!co_await observe()) {
+            pause = std::min(1.0, std::max(0.1, pause * 2)) * jitter(0.7, 1.3);
+            continue;
+        }
+        pause = 0;
+        if (tenure_) {
+            co_await hold();
+            events_.lost();
+            learn("", 0);
+            tenure_.reset();
+            pause = jitter(0.2, 0.6);
+        } else if (leader_.empty()) {
+            co_await campaign();
+            pause = tenure_ || unsure_lease_ ? 0 : jitter(0.05, 0.25);
+            if (tenure_) {
+                co_await hold();
+                events_.lost();
+                learn("", 0);
+                tenure_.reset();
+                pause = jitter(0.2, 0.6);
+            }
+        } else {
+            auto watched = co_await state_.watch(kLeaderKey, revision_, 10);
+            if (watched)
+                revision_ = std::max(revision_, watched.value.revision);
+            else
+                pause = jitter(0.1, 0.4);
+        }
+    }
+}
+
+// Reads who leads. False: not known now.
+asio::awaitable<bool> Election::observe() {
+    double started = steady_now();
+    auto page = co_await state_.list(kLeaderKey, "", 1, kCall_s);
+    if (!page) co_return false;
+    revision_ = page.value.revision;
+    if (page.value.items.empty() || page.value.items[0].key != kLeaderKey) {
+        learn("", 0);
+        unsure_lease_ = 0;
+        co_return true;
+    }
+    auto& item = page.value.items[0];
+    std::string name;
+    try {
+        name = read::text(read::object(item.value), "name");
+    } catch (const BadMessage& e) {
+        spdlog::error("election: malformed value of key {}: {}", kLeaderKey, e.what());
+        co_return false;
+    }
+    if (unsure_lease_ != 0 && item.lease == unsure_lease_) {
+        // The campaign without an answer was won after all. The lease must be proven alive first.
+        started = steady_now();
+        auto renewed = co_await state_.renew(unsure_lease_, kCall_s);
+        if (!renewed) co_return false;
+        tenure_ = std::make_shared<Tenure>();
+        tenure_->token = item.version;
+        tenure_->lease = unsure_lease_;
+        tenure_->won = steady_now();
+        tenure_->sure_until = sure_until(started, lease_s_);
+        unsure_lease_ = 0;
+    }
+    learn(name, item.version);
+    co_return true;
+}
+
+asio::awaitable<void> Election::campaign() {
+    co_await sleep_s(jitter(0.0, 0.15));
+    double started = steady_now();
+    auto lease = co_await state_.grant(lease_s_, kCall_s);
+    if (!lease) co_return;
+    StateTxn txn;
+    txn.conditions.push_back({kLeaderKey, 0});
+    txn.changes.push_back({kLeaderKey, json::serialize(json::object{{"name", settings_.name}}), lease.value});
+    auto won = co_await state_.txn(std::move(txn), kCall_s);
+    if (won) {
+        tenure_ = std::make_shared<Tenure>();
+        tenure_->token = won.value;
+        tenure_->lease = lease.value;
+        tenure_->won = steady_now();
+        tenure_->sure_until = sure_until(started, lease_s_);
+        learn(settings_.name, won.value);
+    } else if (won.outcome == StateOutcome::Unknown) {
+        unsure_lease_ = lease.value;
+    }
+}
+
+asio::awaitable<void> Election::hold() {
+    auto tenure = tenure_;
+    spdlog::info("election: won token={}", tenure->token);
+    events_.won(tenure);
+    double pause = lease_s_ / 4;
+    while (!tenure->ended) {
+        co_await sleep_s(pause);
+        if (tenure->ended) break;
+        double started = steady_now();
+        auto renewed = co_await state_.renew(tenure->lease, std::max(0.3, lease_s_ / 4));
+        if (renewed) {
+            tenure->sure_until = std::max(tenure->sure_until, sure_until(started, lease_s_));
+            pause = lease_s_ / 4;
+        } else if (renewed.outcome == StateOutcome::Missing) {
+            tenure->ended = true;
+        } else {
+            // Down or unanswered: again soon, without adding to a flood. The lease may come back to life
+            // with the service, as it has its full time again after an outage.
+            pause = jitter(0.2, 0.5);
+            if (steady_now() > tenure->sure_until + answering_grace(settings_) + 600) tenure->ended = true;
+        }
+    }
+    tenure->ended = true;
+    spdlog::info("election: lost token={}", tenure->token);
+}
+
+}  // namespace weirmill
--- /dev/null
+++ b/src/coordination/election.h
@@ -0,0 +1,82 @@
+// One leader at a time: a lease of the state service holds the key `leader`; the key's version when it was
+// won is the token that every answer and every transaction carries.
+#pragma once
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "bookkeeping/state_client.h"
+#include "settings/settings.h"
+
+namespace weirmill {
+
+// When this node may act as leader. Times are of its steady clock.
+struct Tenure {
+    uint64_t token = 0;
+    uint64_t lease = 0;
+    double won = 0;         // no earlier leader held the lease after this
+    double sure_until = 0;  // before this no other leader can exist
+    bool ended = false;     // another leader may exist, for good
+};
+
+// How far a steady clock may run from another, with room for timers that fire late.
+inline constexpr double kDrift = 0.001;
+inline constexpr double kMargin_s = 0.1;
+
+// The lease counts from the start of the request that confirmed it.
+inline double sure_until(double request_started, double lease_s) {
+    return request_started + lease_s * (1 - kDrift) - kMargin_s;
+}
+
+// How long a leader unsure of its lease goes on answering reports, so that work outlives an outage of
+// the state service. A cancellation told by the next leader must still end in time:
+// grace + lease_s + margins < cancel_s.
+inline double answering_grace(const Settings& s) {
+    return std::max(0.0, (s.cancel_s - s.lease_s * (1 + kDrift) - 1.5 * s.report_s - 1.0) * 0.85);
+}
+
+// When everything that an earlier leader may have kept alive on a silent machine is gone.
+inline double earlier_leader_expiry(const Settings& s, double won) {
+    return won + answering_grace(s) + s.lease_s * (1 + 2 * kDrift) + 4 * kMargin_s;
+}
+
+// When the lease of a worker last answered by this leader, which had seen its token, has run out.
+inline double answered_expiry(const Settings& s, double last_answer) {
+    return last_answer + s.lease_s * (1 + 2 * kDrift) + 4 * kMargin_s;
+}
+
+class Election {
+  public:
+    struct Events {
+        std::function<void(std::shared_ptr<Tenure>)> won;
+        std::function<void()> lost;
+    };
+    Election(boost::asio::io_context& io, const Settings& settings, const Properties& properties, StateClient& state,
+             Events events);
+
+    // Who leads as far as this node knows; empty: nobody.
+    const std::string& leader() const { return leader_; }
+    uint64_t token() const { return token_; }
+    // The leader found out by itself that its leadership is over.
+    void resign();
+
+  private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<bool> observe();
+    boost::asio::awaitable<void> campaign();
+    boost::asio::awaitable<void> hold();
+    void learn(const std::string& leader, uint64_t token);
+
+    boost::asio::io_context& io_;
+    const Settings& settings_;
+    double lease_s_;
+    StateClient& state_;
+    Events events_;
+    std::string leader_;
+    uint64_t token_ = 0;
+    uint64_t revision_ = 0;
+    uint64_t unsure_lease_ = 0;  // of a campaign whose outcome is unknown
+    std::shared_ptr<Tenure> tenure_;
+};
+
+}  // namespace weirmill
--- /dev/null
+++ b/src/coordination/front.cpp
@@ -0,0 +1,154 @@
+#include "coordination/front.h"
+
+#include <spdlog/spdlog.h>
+
+#include <boost/asio.hpp>
+
+#include "protocol/worker_codec.h"
+
+namespace weirmill {
+
+namespace asio = boost::asio;
+
+namespace {
+constexpr double kForward_s = 2.2;
+constexpr double kPing_s = 1.5;
+constexpr double kDeaf_s = 6;  // a follower this long without its leader sends users elsewhere
+constexpr size_t kMaxRelayed = 10000;
+constexpr std::string_view kRuns = "/v2/runs";
+
+// Arguments of awaited calls are named variables throughout: GCC 12 destroys aggregates that are written
+// in place inside a co_await expression twice.
+}  // namespace
+
+Front::Front(asio::io_context& io, const Settings& settings, const Properties& properties)
+    : io_(io), settings_(settings), properties_(properties), state_(io, settings) {
+    for (auto& p : settings.peers) links_[p.name] = std::make_unique<PeerClient>(io, p.addr);
+    heard_leader_ = steady_now();
+    Election::Events events;
+    events.won = [this](std::shared_ptr<Tenure> tenure) {
+        leader_ = std::make_shared<Leader>(io_, settings_, properties_, state_, tenure);
+        leader_->start();
+    };
+    events.lost = [this] {
+        if (leader_) leader_->stop();
+        leader_.reset();
+        heard_leader_ = steady_now();
+    };
+    election_ = std::make_unique<Election>(io, settings_, properties_, state_, std::move(events));
+    peers_in_ = std::make_unique<PeerServer>(io, settings.peer, [this](PeerCall call) -> asio::awaitable<PeerReply> {
+        if (auto leader = leader_) co_return co_await leader->ask(std::move(call));
+        co_return PeerReply{503, "{}", 1, 0};
+    });
+    // Some sockets are kept for the state service, the cloud, workers and peers.
+    http_ = std::make_unique<HttpServer>(io, settings.api, std::max(16, settings.max_sockets - 64),
+                                         [this](HttpRequest r) { return handle(std::move(r)); });
+    asio::co_spawn(io, ping_loop(), asio::detached);
+    spdlog::info("node: {} in {} serving {} peers={}", settings.name, settings.zone, settings.api.text(), settings.peers.size());
+}
+
+PeerClient* Front::leader_link() {
+    auto it = links_.find(election_->leader());
+    return it == links_.end() ? nullptr : it->second.get();
+}
+
+asio::awaitable<PeerReply> Front::to_leader(PeerCall call) {
+    if (auto leader = leader_) co_return co_await leader->ask(std::move(call));
+    auto* link = leader_link();
+    if (!link) co_return PeerReply{503, R"({"error":"no leader"})", 1, 0};
+    auto reply = co_await link->call(std::move(call), kForward_s);
+    if (!reply) co_return PeerReply{503, R"({"error":"the leader does not answer"})", 1, 0};
+    heard_leader_ = steady_now();
+    co_return *reply;
+}
+
+asio::awaitable<void> Front::ping_loop() {
+    for (;;) {
+        co_await sleep_s(kPing_s);
+        if (leader_) continue;
+        if (auto* link = leader_link()) {
+            PeerCall ping;
+            auto reply = co_await link->call(std::move(ping), 1.0);
+            if (reply) heard_leader_ = steady_now();
+        } else {
+            heard_leader_ = steady_now();  // an election: soon over, and no other node would serve better
+        }
+    }
+}
+
+bool Front::healthy() const {
+    if (leader_) return true;
+    return steady_now() - heard_leader_ < kDeaf_s;
+}
+
+asio::awaitable<HttpReply> Front::handle(HttpRequest r) {
+    auto answer = [](PeerReply reply) { return HttpReply{reply.status, std::move(reply.body), reply.retry_after_s}; };
+    std::string_view path = r.target;
+    path = path.substr(0, path.find('?'));
+    if (path == "/v1/report") {
+        if (r.method != "POST") co_return HttpReply{405, "{}"};
+        co_return co_await handle_report(std::move(r.body));
+    }
+    if (path == "/healthz") co_return healthy() ? HttpReply{200, "{}"} : HttpReply{503, "{}"};
+    if (path == kRuns) {
+        if (r.method != "POST") co_return HttpReply{405, "{}"};
+        PeerCall call{PeerOp::Submit, "", std::move(r.body)};
+        auto reply = co_await to_leader(std::move(call));
+        co_return answer(std::move(reply));
+    }
+    if (path.size() > kRuns.size() + 1 && path.substr(0, kRuns.size()) == kRuns && path[kRuns.size()] == '/') {
+        std::string id(path.substr(kRuns.size() + 1));
+        PeerCall call;
+        call.op = PeerOp::Status;
+        constexpr std::string_view kCancel = "/cancel";
+        if (id.size() > kCancel.size() && id.ends_with(kCancel)) {
+            id.resize(id.size() - kCancel.size());
+            call.op = PeerOp::Cancel;
+        }
+        if (r.method != (call.op == PeerOp::Cancel ? "POST" : "GET")) co_return HttpReply{405, "{}"};
+        call.subject = std::move(id);
+        auto reply = co_await to_leader(std::move(call));
+        co_return answer(std::move(reply));
+    }
+    co_return HttpReply{404, "{}"};
+}
+
+asio::awaitable<HttpReply> Front::handle_report(std::string body) {
+    if (auto leader = leader_) {
+        PeerCall call{PeerOp::Report, "", std::move(body)};
+        auto reply = co_await leader->ask(std::move(call));
+        co_return HttpReply{reply.status, std::move(reply.body)};
+    }
+    ReportHead head;
+    try {
+        head = parse_report_head(body);
+    } catch (const BadMessage& e) {
+        spdlog::error("worker: malformed report refused: {}", e.what());
+        co_return HttpReply{400, "{}"};
+    }
+    if (!leader_link()) co_return HttpReply{421, redirect_answer("")};
+    double now = steady_now();
+    auto it = relayed_.find(head.machine);
+    bool relay = it != relayed_.end() && now < it->second.until;
+    if (!relay && head.token != 0 && head.token >= election_->token()) {
+        // It knows the leader and yet comes here: it can't reach it. We may be able to. From time to time
+        // it is sent to the leader again, more rarely every time that it comes back.
+        if (relayed_.size() > kMaxRelayed) relayed_.clear();
+        auto& entry = relayed_[head.machine];
+        bool again = entry.until > 0 && now - entry.until < 3 * settings_.lease_s;
+        entry.span = again ? std::min(entry.span * 2, 300.0) : std::max(10.0, settings_.lease_s);
+        entry.until = now + entry.span;
+        relay = true;
+    }
+    if (relay) {
+        PeerCall call{PeerOp::Report, "", std::move(body)};
+        auto reply = co_await to_leader(std::move(call));
+        // An answer of an older leader than the worker knows would be dropped, and its lease run out here.
+        if (reply.status == 200 && reply.token >= head.token) co_return HttpReply{200, std::move(reply.body)};
+        relayed_.erase(head.machine);
+        co_return HttpReply{421, redirect_answer("")};
+    }
+    co_return HttpReply{421, redirect_answer(election_->leader())};
+}
+
+}  // namespace weirmill
--- /dev/null
+++ b/src/coordination/leader.h
@@ -0,0 +1,169 @@
+// The leader: an actor that owns the tables and is spoken to by messages. It exists for one tenure.
+#pragma once
+#include <boost/asio/experimental/channel.hpp>
+#include <map>
+#include <memory>
+#include <random>
+#include <variant>
+
+#include "bookkeeping/ledger.h"
+#include "bookkeeping/state_client.h"
+#include "coordination/election.h"
+#include "coordination/placement.h"
+#include "coordination/preemption.h"
+#include "coordination/sizing.h"
+#include "transport/http_client.h"
+#include "transport/one_shot.h"
+#include "transport/peer_link.h"
+
+namespace weirmill {
+
+class Leader : public std::enable_shared_from_this<Leader> {
+  public:
+    Leader(boost::asio::io_context& io, const Settings& settings, const Properties& properties, StateClient& state,
+           std::shared_ptr<Tenure> tenure);
+    void start();
+    // The tenure is over: nothing is answered or sent any more.
+    void stop();
+
+    bool ready() const { return ready_; }
+    bool sure(double now) const { return !tenure_->ended && now < tenure_->sure_until; }
+    uint64_t token() const { return tenure_->token; }
+
+    // What users and workers ask for, from this node's own door or over the peer link.
+    boost::asio::awaitable<PeerReply> ask(PeerCall call);
+
+  private:
+    using Reply = OneShot<PeerReply>;
+    struct Asked {
+        PeerCall call;
+        Reply reply;
+    };
+    struct FinalRead {
+        PeerCall call;
+        Reply reply;
+        StateResult<StateItem> result;
+        int refusal = 404;  // the answer should there be no final state
+    };
+    struct TxnDone {
+        LedgerBatch batch;
+        StateResult<uint64_t> result;
+    };
+    struct TxnUnsure {};
+    struct TypesRead {
+        std::vector<MachineType> types;
+    };
+    struct ListRead {
+        std::vector<ListedMachine> machines;
+    };
+    struct Rented {
+        Rental rental;
+        bool refused = false;
+        std::vector<std::string> names;
+    };
+    struct RentPassDone {};
+    struct Returned {
+        std::vector<std::string> names;
+        bool done = false;
+    };
+    struct Tick {};
+    using Message = std::variant<Tick, Asked, FinalRead, TxnDone, TxnUnsure, TypesRead, ListRead, Rented, RentPassDone, Returned>;
+    using Mailbox = boost::asio::experimental::channel<void(boost::system::error_code, Message)>;
+
+    struct Held {  // a worker's report that waits for records before it is answered
+        Reply reply;
+        uint64_t seq = 0;
+        double until = 0;
+    };
+
+    boost::asio::awaitable<void> run(std::shared_ptr<Leader> self);
+    boost::asio::awaitable<bool> load();
+    boost::asio::awaitable<void> tick_loop(std::shared_ptr<Leader> self);
+    boost::asio::awaitable<void> commit(std::shared_ptr<Leader> self, LedgerBatch batch);
+    boost::asio::awaitable<void> read_final(std::shared_ptr<Leader> self, PeerCall call, Reply reply, int refusal);
+    boost::asio::awaitable<void> types_loop(std::shared_ptr<Leader> self);
+    boost::asio::awaitable<void> list_loop(std::shared_ptr<Leader> self);
+    boost::asio::awaitable<void> rent(std::shared_ptr<Leader> self, std::vector<Rental> rentals);
+    boost::asio::awaitable<void> give_back(std::shared_ptr<Leader> self, std::vector<std::string> names);
+    boost::asio::awaitable<void> send_stops(std::shared_ptr<Leader> self, std::string addr, std::string body);
+    boost::asio::awaitable<std::optional<HttpAnswer>> cloud_call(const char* method, std::string target, std::string body,
+                                                                 double timeout_s);
+
+    void post(Message m);
+    void handle(Asked& m);
+    void handle(FinalRead& m);
+    void handle(TxnDone& m);
+    void handle(TxnUnsure&);
+    void handle(TypesRead& m);
+    void handle(ListRead& m);
+    void handle(Rented& m);
+    void handle(RentPassDone&);
+    void handle(Returned& m);
+    void handle(Tick&);
+
+    void submit(PeerCall& call, Reply& reply);
+    void status(PeerCall& call, Reply& reply);
+    void cancel(PeerCall& call, Reply& reply);
+    void report(PeerCall& call, Reply& reply);
+    void take_report(Machine& m, Index index, const Report& r);
+    void take_task(Machine& m, Index index, const TaskReport& t);
+    void task_exited(Index job, uint32_t task, Index machine, const TaskReport& t);
+    void task_failed(Index job, Index machine);
+    void lose_task(Index job, uint32_t task);
+    void end_gang(Index job, bool graceful);
+    void check_job(Index job);
+    void stop_task(Index job, uint32_t task, bool graceful);
+    void drain(Index machine, double notice_s);
+    void answer_report(Index machine, Held& held);
+    void release_held(bool all_due);
+    bool unsettled(const Machine& m) const;
+    void machine_gone(Index machine, const char* why);
+    void check_machines();
+    void schedule();
+    void preempt();
+    void size_fleet();
+    void flush();
+    void flush_stops();
+    bool usable(const Machine& m) const;
+    bool may_tell(const Job& job) const;
+    bool state_down() const;
+    JobState job_state(const Job& job) const;
+    PeerReply job_reply(const Job& job, PeerOp op, int status) const;
+    PeerReply final_reply(const std::string& id, const FinalState& f, PeerOp op) const;
+    void remember_final(const std::string& id, FinalState f);
+    void answer_waiters(const std::string& id, const PeerReply& reply);
+    PeerReply come_back(int seconds = 1) const;
+
+    boost::asio::io_context& io_;
+    const Settings& settings_;
+    const Properties& properties_;
+    StateClient& state_;
+    HttpClient cloud_;
+    std::shared_ptr<Tenure> tenure_;
+    Mailbox mailbox_;
+    Tables tables_;
+    Ledger ledger_;
+    std::mt19937_64 random_;
+    bool ready_ = false, stopped_ = false;
+    double now_ = 0;
+
+    RateBudget writes_, cloud_budget_;
+    double cloud_pause_until_ = 0;
+    bool flushing_ = false;
+    double flush_not_before_ = 0, state_failed_at_ = -1e9, state_worked_at_ = 0;
+    std::map<std::string, std::vector<std::pair<PeerOp, Reply>>> waiters_;  // by job id
+    std::map<Index, Held> held_;                                          // by machine
+    std::map<Index, std::vector<Command>> direct_;                        // stops to send, by machine
+    std::unordered_map<std::string, FinalState> finals_;
+    std::deque<std::string> finals_order_;
+
+    bool dirty_ = true;  // something changed that scheduling should look at
+    double next_schedule_ = 0, next_round_ = 0, next_check_ = 0, next_sizing_ = 0;
+    uint64_t rounds_ = 0;
+    bool renting_ = false, returning_ = false, listed_once_ = false;
+    double rent_not_before_ = 0;
+    uint64_t hires_ = 0;
+    std::map<std::string, double> gone_;  // machines known to be gone, which a late list may still show
+};
+
+}  // namespace weirmill
--- /dev/null
+++ b/src/coordination/placement.h
@@ -0,0 +1,38 @@
+// Where waiting tasks go: best-fit decreasing by GPU demand, or CPU without GPUs.
+#pragma once
+#include <functional>
+#include <vector>
+
+#include "bookkeeping/tables.h"
+
+namespace weirmill {
+
+struct Placement {
+    Index job;
+    uint32_t task;
+    Index machine;
+    uint32_t attempt;
+    bool operator==(const Placement&) const = default;
+};
+
+// True: the machine may be given tasks now.
+using Usable = std::function<bool(const Machine&)>;
+
+// Jobs with pending tasks that may be placed now, most pressing first.
+std::vector<Index> waiting_jobs(const Tables& tables, double now);
+
+// Places what fits, marking it in the tables, and returns it.
+std::vector<Placement> place_waiting(Tables& tables, const Usable& usable, double now, size_t most = 4096);
+
+// Zones that tasks of the job may be in, for jobs bound to one zone or spread over several.
+struct ZoneRule {
+    const Tables& tables;
+    const Job& job;
+    std::vector<uint32_t> in_zone;  // tasks that may be there, by zone index
+    uint32_t somewhere = 0;         // of those, on machines whose zone is not known
+    ZoneRule(const Tables& tables, const Job& job);
+    bool allows(Index zone) const;
+    void add(Index zone);
+};
+
+}  // namespace weirmill
--- /dev/null
+++ b/src/coordination/preemption.cpp
@@ -0,0 +1,207 @@
+#include "coordination/preemption.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <map>
+
+namespace weirmill {
+
+double preemption_cost(const ClearCandidate& c, const std::vector<uint32_t>& spans) {
+    double cost = c.singles;
+    for (auto g : c.gangs) cost += 1.0 / spans[g];
+    return cost;
+}
+
+std::vector<size_t> pick_cheapest(const std::vector<ClearCandidate>& candidates, const std::vector<uint32_t>& spans,
+                                  size_t n) {
+    auto left = candidates;
+    std::vector<bool> picked(candidates.size(), false);
+    std::vector<size_t> out;
+    while (out.size() < n && out.size() < candidates.size()) {
+        size_t best = candidates.size();
+        double best_cost = 0;
+        for (size_t i = 0; i < left.size(); ++i) {
+            if (picked[i]) continue;
+            double cost = preemption_cost(left[i], spans);
+            if (best == candidates.size() || cost < best_cost - 1e-9) best = i, best_cost = cost;
+        }
+        picked[best] = true;
+        out.push_back(best);
+        // Its gangs are stopped everywhere: their shares leave the other machines' costs.
+        for (auto g : left[best].gangs)
+            for (size_t i = 0; i < left.size(); ++i)
+                if (i != best) std::erase(left[i].gangs, g);
+    }
+    return out;
+}
+
+bool may_stop(const Tables& tables, const Job& victim, const Job& job) {
+    if (victim.spec.priority < job.spec.priority) return true;
+    // Work beyond its team's guarantee gives way to a team that is owed its own.
+    auto& owed = tables.teams[job.spec.team];
+    auto& taker = tables.teams[victim.spec.team];
+    return victim.spec.team != job.spec.team && tables.over_guarantee(taker) &&
+           tables.within_guarantee(owed, job.spec.kind == JobKind::Array ? job.spec.need : job.spec.need * job.pending);
+}
+
+namespace {
+
+// A task that takes over half of each machine it fits needs machines to itself.
+bool large(const Tables& tables, const Job& job) {
+    if (job.spec.kind == JobKind::Gang) return true;
+    bool any = false;
+    for (Index t = 0; t < tables.types.size(); ++t) {
+        if (!tables.type_fits(job.spec, t)) continue;
+        any = true;
+        if (job.spec.need.times_in(tables.types[t].type.size) > 1) return false;
+    }
+    return any;
+}
+
+struct Clearable {
+    ClearCandidate candidate;
+    int64_t fits = 0;  // tasks of the waiting job on the emptied machine
+};
+
+}  // namespace
+
+PreemptionRound plan_preemption(const Tables& tables, const Usable& usable, double now) {
+    PreemptionRound round;
+    std::vector<bool> taken(tables.machines.size(), false);
+    for (Index i = 0; i < tables.machines.size(); ++i) {
+        auto* m = tables.machines[i].get();
+        taken[i] = m && m->reserved_for != kNone && m->reserved_until > now;
+    }
+    std::map<std::pair<Index, uint32_t>, bool> stopped;
+    for (auto j : waiting_jobs(tables, now)) {
+        auto& job = *tables.jobs[j];
+        if (!large(tables, job)) continue;
+        auto& team = tables.teams[job.spec.team];
+        bool gang = job.spec.kind == JobKind::Gang;
+        int64_t wanted = gang ? job.pending : 0;
+        if (gang && !tables.within_limit(team, job.spec.need * job.pending)) continue;
+        while (!gang && wanted < job.pending && tables.within_limit(team, job.spec.need * (wanted + 1))) ++wanted;
+        // Machines already being emptied for this job.
+        for (Index i = 0; i < tables.machines.size(); ++i)
+            if (taken[i] && tables.machines[i]->reserved_for == j) wanted -= job.spec.need.times_in(tables.machines[i]->size);
+        if (wanted <= 0) continue;
+
+        std::vector<Index> zones{kNone};
+        if (job.spec.one_zone) {
+            zones.clear();
+            for (Index z = 0; z < tables.names.zones.size(); ++z) zones.push_back(z);
+        }
+        std::vector<Clearable> best;
+        std::vector<size_t> best_pick;
+        double best_cost = 0;
+        std::vector<Index> gang_ids;
+        for (auto zone : zones) {
+            ZoneRule rule(tables, job);
+            int64_t missing = wanted;
+            std::vector<Clearable> list;
+            std::map<Index, Index> dense;
+            std::vector<uint32_t> spans;
+            for (Index i = 0; i < tables.machines.size(); ++i) {
+                auto* m = tables.machines[i].get();
+                if (!m || taken[i] || !usable(*m) || !tables.machine_allowed(job.spec, *m)) continue;
+                if (zone != kNone && m->zone != zone) continue;
+                if (!rule.allows(m->zone)) continue;
+                auto free = job.spec.need.times_in(m->room());
+                if (free > 0) {
+                    missing -= free;
+                    continue;
+                }
+                Clearable c;
+                c.candidate.machine = i;
+                c.fits = job.spec.need.times_in(m->size);
+                bool clearable = true;
+                for (auto& ref : m->tasks) {
+                    auto& victim = *tables.jobs[ref.job];
+                    clearable = clearable && may_stop(tables, victim, job);
+                    if (victim.spec.kind != JobKind::Gang) {
+                        ++c.candidate.singles;
+                        continue;
+                    }
+                    auto [it, fresh] = dense.emplace(ref.job, static_cast<Index>(spans.size()));
+                    if (fresh) {
+                        std::vector<Index> on;
+                        for (auto& t : victim.tasks)
+                            if (t.state == TaskState::Placed && std::find(on.begin(), on.end(), t.machine) == on.end())
+                                on.push_back(t.machine);
+                        spans.push_back(static_cast<uint32_t>(on.size()));
+                    }
+                    if (std::find(c.candidate.gangs.begin(), c.candidate.gangs.end(), it->second) == c.candidate.gangs.end())
+                        c.candidate.gangs.push_back(it->second);
+                }
+                if (clearable && !m->tasks.empty()) list.push_back(std::move(c));
+            }
+            if (missing <= 0) {
+                best.clear();  // there is room: placement will take it
+                best_pick.clear();
+                break;
+            }
+            // N: the fewest whole machines that fit what is missing. Machines that hold the most first.
+            std::vector<int64_t> fits;
+            for (auto& c : list) fits.push_back(c.fits);
+            std::sort(fits.rbegin(), fits.rend());
+            size_t n = 0;
+            int64_t sum = 0;
+            while (n < fits.size() && sum < missing) sum += fits[n++];
+            if (sum < missing) continue;
+            std::vector<ClearCandidate> plain;
+            for (auto& c : list) plain.push_back(c.candidate);
+            // Cheapest first; with machines of different sizes N may fall short, then one more is picked.
+            std::vector<size_t> pick;
+            for (; n <= plain.size(); ++n) {
+                pick = pick_cheapest(plain, spans, n);
+                int64_t got = 0;
+                for (auto p : pick) got += list[p].fits;
+                if (got >= missing) break;
+            }
+            double cost = 0;
+            for (auto p : pick) cost += preemption_cost(plain[p], spans);
+            if (best_pick.empty() || cost < best_cost) {
+                best = std::move(list);
+                best_pick = std::move(pick);
+                best_cost = cost;
+            }
+        }
+        if (best_pick.empty()) continue;
+        PreemptionRound::Clearing clearing{j, {}};
+        for (auto p : best_pick) {
+            auto i = best[p].candidate.machine;
+            clearing.machines.push_back(i);
+            taken[i] = true;
+            for (auto& ref : tables.machines[i]->tasks) {
+                auto& victim = *tables.jobs[ref.job];
+                if (victim.spec.kind == JobKind::Gang) {
+                    for (uint32_t t = 0; t < victim.tasks.size(); ++t)
+                        if (victim.tasks[t].state == TaskState::Placed && stopped.emplace(std::pair(ref.job, t), true).second)
+                            round.stops.push_back({ref.job, t});
+                } else if (stopped.emplace(std::pair(ref.job, ref.task), true).second) {
+                    round.stops.push_back(ref);
+                }
+            }
+        }
+        round.clearings.push_back(std::move(clearing));
+    }
+    return round;
+}
+
+std::string round_record(const PreemptionRound& round, const Tables& tables, uint64_t number) {
+    namespace json = boost::json;
+    // Bounded, so that the record fits the smallest value the state service may allow.
+    constexpr size_t kMost = 8;
+    json::array clearings;
+    for (auto& c : round.clearings) {
+        if (clearings.size() == kMost) break;
+        json::array machines;
+        for (auto m : c.machines)
+            if (machines.size() < kMost) machines.emplace_back(tables.machines[m]->name);
+        clearings.push_back(json::object{{"job", tables.jobs[c.job]->spec.id}, {"machines", std::move(machines)}});
+    }
+    return json::serialize(json::object{
+        {"number", number}, {"clearings", std::move(clearings)}, {"stops", static_cast<uint64_t>(round.stops.size())}});
+}
+
+}  // namespace weirmill
--- /dev/null
+++ b/src/coordination/sizing.h
@@ -0,0 +1,28 @@
+// How large the fleet should be: what to rent for waiting work, what to return.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "bookkeeping/tables.h"
+#include "coordination/placement.h"
+
+namespace weirmill {
+
+struct Rental {
+    Index type, zone;
+    bool spot;
+    int count;
+    bool operator==(const Rental&) const = default;
+};
+
+struct SizingSettings {
+    double idle_keep_boots = 1.0;
+};
+
+// What waiting work needs beyond the machines that are up or coming up.
+std::vector<Rental> plan_rentals(const Tables& tables, const Usable& usable, double now);
+
+// Machines that serve nothing any more.
+std::vector<Index> plan_returns(const Tables& tables, const SizingSettings& settings, double now);
+
+}  // namespace weirmill
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,59 @@
+// Command line and wiring.
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdlib>
+#include <iostream>
+
+#include "coordination/front.h"
+#include "settings/settings.h"
+
+namespace {
+
+bool set_up_logging() {
+    auto logger = std::make_shared<spdlog::logger>("weirmill", std::make_shared<spdlog::sinks::stderr_sink_st>());
+    spdlog::set_default_logger(logger);
+    spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %l %v", spdlog::pattern_time_type::utc);
+    const char* level = std::getenv("LOG_LEVEL");
+    std::string name = level && *level ? level : "info";
+    if (name == "error") spdlog::set_level(spdlog::level::err);
+    else if (name == "info") spdlog::set_level(spdlog::level::info);
+    else if (name == "debug") spdlog::set_level(spdlog::level::debug);
+    else {
+        std::cerr << "LOG_LEVEL must be error, info or debug, not \"" << name << "\"\n";
+        return false;
+    }
+    return true;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app("weirmill: a controller of the cluster scheduler");
+    std::string config, properties_file;
+    bool check = false;
+    app.set_version_flag("--version", std::string("weirmill ") + WEIRMILL_VERSION);
+    app.add_option("--config", config, "the platform's settings file (TOML)")->required()->type_name("FILE");
+    app.add_option("--properties", properties_file, "the operators' own settings (Java-style properties)")->type_name("FILE");
+    app.add_flag("--check-config", check, "check the settings and exit");
+    CLI11_PARSE(app, argc, argv);
+    if (!set_up_logging()) return 2;
+    try {
+        auto settings = weirmill::load_settings(config);
+        auto properties = properties_file.empty() ? weirmill::Properties{} : weirmill::load_properties(properties_file);
+        for (auto* e : {&settings.api, &settings.peer, &settings.cloud, &settings.state}) weirmill::resolve(*e);
+        if (check) {
+            std::cout << "settings are sound\n";
+            return 0;
+        }
+        boost::asio::io_context io(1);
+        weirmill::Front front(io, settings, properties);
+        io.run();
+    } catch (const std::exception& e) {
+        std::cerr << e.what() << "\n";
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/protocol/state_codec.cpp
@@ -0,0 +1,100 @@
+#include "protocol/state_codec.h"
+
+namespace weirmill {
+
+namespace json = boost::json;
+
+namespace {
+
+StateItem item_of(const json::value& v) {
+    auto& o = read::object(v);
+    StateItem item;
+    item.key = read::text(o, "path");
+    auto* value = o.if_contains("value");
+    if (!value) read::bad("value");
+    item.value = *value;
+    item.version = read::count(o, "stamp");
+    item.lease = read::count(o, "permit", 0);
+    return item;
+}
+
+}  // namespace
+
+StateItem parse_state_item(std::string_view body) { return item_of(read::parse(body)); }
+
+StatePage parse_state_page(std::string_view body) {
+    auto v = read::parse(body);
+    auto& o = read::object(v);
+    StatePage page;
+    for (auto& item : read::array(o, "pairs")) page.items.push_back(item_of(item));
+    page.more = read::flag(o, "has_next", false);
+    page.revision = read::count(o, "ledger");
+    return page;
+}
+
+uint64_t parse_revision(std::string_view body) {
+    auto v = read::parse(body);
+    return read::count(read::object(v), "ledger");
+}
+
+std::vector<std::string> parse_failed(std::string_view body) {
+    auto v = read::parse(body);
+    std::vector<std::string> out;
+    for (auto& key : read::array(read::object(v), "failed")) {
+        if (!key.is_string()) read::bad("failed");
+        out.emplace_back(key.get_string());
+    }
+    return out;
+}
+
+uint64_t parse_lease(std::string_view body) {
+    auto v = read::parse(body);
+    return read::count(read::object(v), "permit");
+}
+
+StateWatch parse_watch(std::string_view body) {
+    auto v = read::parse(body);
+    auto& o = read::object(v);
+    return {read::count(o, "ledger"), read::array(o, "events").size()};
+}
+
+std::string txn_json(const StateTxn& txn) {
+    // Values are JSON texts already; they are spliced in rather than parsed again.
+    std::string out = R"({"when":[)";
+    for (size_t i = 0; i < txn.conditions.size(); ++i) {
+        if (i) out += ',';
+        out += R"({"path":)" + json::serialize(json::string(txn.conditions[i].key)) + R"(,"stamp":)" +
+               std::to_string(txn.conditions[i].version) + '}';
+    }
+    out += R"(],"then":[)";
+    for (size_t i = 0; i < txn.changes.size(); ++i) {
+        auto& c = txn.changes[i];
+        if (i) out += ',';
+        auto key = json::serialize(json::string(c.key));
+        if (c.value.empty()) {
+            out += R"({"drop":)" + key + '}';
+        } else {
+            out += R"({"write":)" + key + R"(,"value":)" + c.value;
+            if (c.lease) out += R"(,"permit":)" + std::to_string(c.lease);
+            out += '}';
+        }
+    }
+    out += "]}";
+    return out;
+}
+
+std::string lease_json(int64_t ttl_ms) { return json::serialize(json::object{{"ttl_ms", ttl_ms}}); }
+
+std::string state_key_target(const std::string& key) { return "/keys/" + key; }
+
+std::string state_list_target(const std::string& prefix, const std::string& after, int limit) {
+    std::string t = "/keys?starts=" + prefix + "&most=" + std::to_string(limit);
+    if (!after.empty()) t += "&from=" + after;
+    return t;
+}
+
+std::string state_watch_target(const std::string& prefix, uint64_t after, int wait_ms) {
+    return "/follow?starts=" + prefix + "&from=" + std::to_string(after) + "&block_ms=" + std::to_string(wait_ms);
+}
+
+}  // namespace weirmill
--- /dev/null
+++ b/src/protocol/user_codec.cpp
@@ -0,0 +1,141 @@
+#include "protocol/user_codec.h"
+
+#include <algorithm>
+
+namespace weirmill {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr uint32_t kMaxTasks = 100000;
+constexpr size_t kMaxTypes = 64;
+
+struct KindName {
+    const char* wire;
+    JobKind kind;
+};
+constexpr KindName kKinds[] = {{"array", JobKind::Array}, {"ensemble", JobKind::Gang}, {"standing", JobKind::Service}};
+
+struct PriorityName {
+    const char* wire;
+    Priority priority;
+};
+constexpr PriorityName kPriorities[] = {
+    {"prod", Priority::Production}, {"high", Priority::High}, {"normal", Priority::Normal}, {"low", Priority::Low}};
+
+const char* state_name(JobState s) {
+    switch (s) {
+        case JobState::Queued: return "queued";
+        case JobState::Running: return "running";
+        case JobState::Done: return "done";
+        case JobState::Cancelled: return "aborted";
+    }
+    return "queued";
+}
+
+double amount(int64_t milli) { return static_cast<double>(milli) / 1000.0; }
+
+}  // namespace
+
+bool valid_job_id(std::string_view id) {
+    constexpr std::string_view prefix = "req-";
+    if (id.size() <= prefix.size() || id.size() > 40 || id.substr(0, prefix.size()) != prefix) return false;
+    id.remove_prefix(prefix.size());
+    return std::all_of(id.begin(), id.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+JobSpec parse_submission(std::string_view body, Names& names) { return parse_submission(read::parse(body), names); }
+
+JobSpec parse_submission(const json::value& v, Names& names) {
+    auto& o = read::object(v);
+    JobSpec s;
+    s.id = read::text(o, "name_id");
+    if (!valid_job_id(s.id)) read::bad("name_id");
+    auto job_class = read::text(o, "lot_class");
+    auto team = read::text(o, "consignor");
+    auto kind = read::text(o, "sale_kind");
+    auto* k = std::find_if(std::begin(kKinds), std::end(kKinds), [&](auto& r) { return kind == r.wire; });
+    if (k == std::end(kKinds)) read::bad("sale_kind");
+    s.kind = k->kind;
+    auto priority = read::text(o, "urgency");
+    auto* p = std::find_if(std::begin(kPriorities), std::end(kPriorities), [&](auto& r) { return priority == r.wire; });
+    if (p == std::end(kPriorities)) read::bad("urgency");
+    s.priority = p->priority;
+    auto tasks = read::count(o, "lots");
+    if (tasks < 1 || tasks > kMaxTasks) read::bad("lots");
+    s.tasks = static_cast<uint32_t>(tasks);
+    s.need.cpu = milli_up(read::number(o, "cores"));
+    s.need.gpu = milli_up(read::number(o, "accelerators"));
+    s.need.mem = milli_up(read::number(o, "mem_gb"));
+    std::vector<std::string> types;
+    if (read::field(o, "rigs")) {
+        auto& list = read::array(o, "rigs");
+        if (list.empty() || list.size() > kMaxTypes) read::bad("rigs");
+        for (auto& t : list) {
+            if (!t.is_string() || t.get_string().empty() || t.get_string().size() > 100) read::bad("rigs");
+            types.emplace_back(t.get_string());
+        }
+    }
+    std::string zone = read::field(o, "yard") ? read::text(o, "yard") : "";
+    s.one_zone = read::flag(o, "same_place");
+    s.spread = read::flag(o, "scatter");
+    s.spot = read::flag(o, "loaners");
+    auto image = read::text(o, "bundle");
+    s.image_gb = read::number(o, "size_gb");
+    s.estimate_s = read::number(o, "expected_s");
+    s.checkpoint_s = read::number(o, "tally_s");
+    s.save_s = read::number(o, "bank_s");
+    s.deadline_s = read::field(o, "due_s") ? read::number(o, "due_s") : -1;
+    // Interned only once the whole message is known to be sound.
+    s.job_class = names.classes.intern(job_class);
+    s.team = names.teams.find(team);
+    for (auto& t : types) s.types.push_back(names.types.intern(t));
+    if (!zone.empty()) s.zone = names.zones.intern(zone);
+    s.image = names.images.intern(image);
+    return s;
+}
+
+json::object submission_json(const JobSpec& s, const Names& names) {
+    json::object o;
+    o["name_id"] = s.id;
+    o["lot_class"] = names.classes.name(s.job_class);
+    o["consignor"] = names.teams.name(s.team);
+    for (auto& k : kKinds)
+        if (k.kind == s.kind) o["sale_kind"] = k.wire;
+    for (auto& p : kPriorities)
+        if (p.priority == s.priority) o["urgency"] = p.wire;
+    o["lots"] = s.tasks;
+    o["cores"] = amount(s.need.cpu);
+    o["accelerators"] = amount(s.need.gpu);
+    o["mem_gb"] = amount(s.need.mem);
+    if (!s.types.empty()) {
+        json::array types;
+        for (auto t : s.types) types.emplace_back(names.types.name(t));
+        o["rigs"] = std::move(types);
+    }
+    if (s.zone != kNone) o["yard"] = names.zones.name(s.zone);
+    o["same_place"] = s.one_zone;
+    o["scatter"] = s.spread;
+    o["loaners"] = s.spot;
+    o["bundle"] = names.images.name(s.image);
+    o["size_gb"] = s.image_gb;
+    o["expected_s"] = s.estimate_s;
+    o["tally_s"] = s.checkpoint_s;
+    o["bank_s"] = s.save_s;
+    if (s.deadline_s >= 0) o["due_s"] = s.deadline_s;
+    return o;
+}
+
+std::string job_answer(std::string_view id, JobState state) {
+    return json::serialize(json::object{{"name_id", json::string_view(id.data(), id.size())}, {"status", state_name(state)}});
+}
+
+std::string job_status(std::string_view id, JobState state, uint32_t done, uint32_t running) {
+    return json::serialize(json::object{{"name_id", json::string_view(id.data(), id.size())},
+                                        {"status", state_name(state)},
+                                        {"done", done},
+                                        {"running", running}});
+}
+
+}  // namespace weirmill
--- /dev/null
+++ b/src/protocol/user_codec.h
@@ -0,0 +1,23 @@
+// The users' interface: submissions in, job states out.
+#pragma once
+#include <string>
+#include <string_view>
+
+#include "protocol/json_read.h"
+#include "protocol/types.h"
+
+namespace weirmill {
+
+bool valid_job_id(std::string_view id);
+
+// Reads a submission; throws BadMessage. Names are interned in `names`; an unknown team stays kNone.
+JobSpec parse_submission(std::string_view body, Names& names);
+JobSpec parse_submission(const boost::json::value& v, Names& names);
+// The same fields as parse_submission reads, for the state service.
+boost::json::object submission_json(const JobSpec& spec, const Names& names);
+
+enum class JobState : uint8_t { Queued, Running, Done, Cancelled };
+std::string job_answer(std::string_view id, JobState state);
+std::string job_status(std::string_view id, JobState state, uint32_t done, uint32_t running);
+
+}  // namespace weirmill
--- /dev/null
+++ b/src/transport/peer_link.h
@@ -0,0 +1,56 @@
+// Calls between controllers: Cap'n Proto messages, length-framed, over one kept TCP stream per peer.
+#pragma once
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "settings/settings.h"
+#include "transport/one_shot.h"
+
+namespace weirmill {
+
+enum class PeerOp : uint8_t { Submit, Status, Cancel, Report, Ping };
+
+struct PeerCall {
+    PeerOp op = PeerOp::Ping;
+    std::string subject, body;
+};
+
+struct PeerReply {
+    int status = 503;
+    std::string body;
+    int retry_after_s = 0;
+    uint64_t token = 0;
+};
+
+using PeerHandler = std::function<boost::asio::awaitable<PeerReply>(PeerCall)>;
+
+class PeerServer {
+  public:
+    PeerServer(boost::asio::io_context& io, const Endpoint& at, PeerHandler handler);
+    uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+  private:
+    boost::asio::awaitable<void> accept_loop();
+    boost::asio::ip::tcp::acceptor acceptor_;
+    PeerHandler handler_;
+};
+
+class PeerClient {
+  public:
+    PeerClient(boost::asio::io_context& io, Endpoint to);
+    // Nothing: the peer did not answer in time.
+    boost::asio::awaitable<std::optional<PeerReply>> call(PeerCall call, double timeout_s);
+
+  private:
+    struct Link;
+    boost::asio::io_context& io_;
+    Endpoint to_;
+    std::shared_ptr<Link> link_;
+    uint64_t next_seq_ = 1;
+};
+
+}  // namespace weirmill
