--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -23,7 +23,6 @@
 
 Front::Front(asio::io_context& io, const Settings& settings, const Properties& properties)
     : io_(io), settings_(settings), properties_(properties), state_(io, settings) {
-    for (auto& p : settings.peers) links_[p.name] = std::make_unique<PeerClient>(io, p.addr);
     heard_leader_ = steady_now();
     Election::Events events;
     events.won = [this](std::shared_ptr<Tenure> tenure) {
@@ -48,8 +47,11 @@
 }
 
 PeerClient* Front::leader_link() {
-    auto it = links_.find(election_->leader());
-    return it == links_.end() ? nullptr : it->second.get();
+    auto& name = election_->leader();
+    if (auto it = links_.find(name); it != links_.end()) return it->second.get();
+    for (auto& p : settings_.peers)
+        if (p.name == name) return (links_[name] = std::make_unique<PeerClient>(io_, p.addr)).get();
+    return nullptr;
 }
 
 asio::awaitable<PeerReply> Front::to_leader(PeerCall call) {
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -1008,7 +1008,7 @@
 asio::awaitable<void> Leader::rent(std::shared_ptr<Leader> self, std::vector<Rental> rentals) {
     for (auto& r : rentals) {
         // Unique for ever: no other leader has this token, and no other rental of this leader this number.
-        std::string request = "w" + std::to_string(tenure_->token) + "-" + std::to_string(++hires_);
+        auto request = fmt::format("w{}-{}", tenure_->token, ++hires_);
         auto body = rental_json(request, tables_.names.types.name(r.type), tables_.names.zones.name(r.zone), r.spot, r.count);
         while (!stopped_) {
             auto answer = co_await cloud_call("POST", "/machines", body, 4);
--- /dev/null
+++ b/tests/decision_test.cpp
@@ -0,0 +1,238 @@
+// Placement, preemption and sizing: pure functions of tables and a given time.
+#include <gtest/gtest.h>
+
+#include "coordination/placement.h"
+#include "coordination/preemption.h"
+#include "coordination/sizing.h"
+#include "fixtures.h"
+
+namespace weirmill {
+namespace {
+
+using test::any_machine;
+using test::World;
+
+// Figure 5 of the Aryl paper: a on servers 1 and 2, b on 3, c on 4 and 5, d on 5 and 6.
+struct Figure5 {
+    std::vector<ClearCandidate> servers{{0, {0}, 0}, {1, {0}, 0}, {2, {1}, 0}, {3, {2}, 0}, {4, {2, 3}, 0}, {5, {3}, 0}};
+    std::vector<uint32_t> spans{2, 1, 2, 2};
+};
+
+TEST(Preemption, CostsOfThePapersTable1) {
+    Figure5 f;
+    const double expected[] = {0.5, 0.5, 1, 0.5, 1, 0.5};
+    for (size_t i = 0; i < f.servers.size(); ++i) EXPECT_DOUBLE_EQ(preemption_cost(f.servers[i], f.spans), expected[i]) << i;
+}
+
+TEST(Preemption, PicksAsInThePapersFigure5) {
+    Figure5 f;
+    struct Row {
+        size_t n;
+        std::vector<size_t> picked;
+    };
+    // Server 2 costs nothing once job a is stopped; then c goes from 4, which leaves 5 with half a job.
+    const Row rows[] = {{0, {}}, {1, {0}}, {2, {0, 1}}, {3, {0, 1, 3}}, {4, {0, 1, 3, 4}}, {5, {0, 1, 3, 4, 5}}, {9, {0, 1, 3, 4, 5, 2}}};
+    for (auto& row : rows) EXPECT_EQ(pick_cheapest(f.servers, f.spans, row.n), row.picked) << row.n;
+}
+
+TEST(Preemption, ClearsTheCheapestMachineAndStopsOnlyThere) {
+    World w;
+    auto m0 = w.machine("m0"), m1 = w.machine("m1");
+    auto many = w.running(w.spec("req-1", JobKind::Array, 3, 2, 0, Priority::Low), {m0, m0, m1});
+    auto big = w.job(w.spec("req-2", JobKind::Gang, 1, 7, 0, Priority::High));
+    auto round = plan_preemption(w.tables, any_machine, w.now);
+    ASSERT_EQ(round.clearings.size(), 1u);
+    EXPECT_EQ(round.clearings[0].job, big);
+    EXPECT_EQ(round.clearings[0].machines, std::vector<Index>{m1});
+    EXPECT_EQ(round.stops, (std::vector<TaskRef>{{many, 2}}));
+}
+
+TEST(Preemption, StopsGangsEverywhereAndCountsTheirOtherMachinesAsFree) {
+    World w;
+    auto m0 = w.machine("m0"), m1 = w.machine("m1"), m2 = w.machine("m2");
+    w.running(w.spec("req-1", JobKind::Array, 1, 4, 0, Priority::Low), {m0});
+    auto gang = w.running(w.spec("req-2", JobKind::Gang, 2, 4, 0, Priority::Low), {m1, m2});
+    w.job(w.spec("req-3", JobKind::Gang, 2, 7, 0, Priority::High));
+    auto round = plan_preemption(w.tables, any_machine, w.now);
+    ASSERT_EQ(round.clearings.size(), 1u);
+    EXPECT_EQ(round.clearings[0].machines, (std::vector<Index>{m1, m2}));
+    EXPECT_EQ(round.stops, (std::vector<TaskRef>{{gang, 0}, {gang, 1}}));
+}
+
+TEST(Preemption, LeavesAloneWhatMayNotBeStopped) {
+    struct Row {
+        const char* why;
+        Priority victim, waiting;
+        const char *victim_team, *waiting_team;
+        double waiting_cpus;
+        size_t clearings;
+    };
+    const Row rows[] = {
+        {"equal priority", Priority::High, Priority::High, "blue", "blue", 7, 0},
+        {"higher priority", Priority::High, Priority::Low, "blue", "blue", 7, 0},
+        {"lower priority", Priority::Low, Priority::Normal, "blue", "blue", 7, 1},
+        {"beyond its guarantee, for a team that is owed", Priority::High, Priority::Low, "blue", "red", 7, 1},
+        {"within its own guarantee", Priority::High, Priority::Low, "red", "red", 7, 0},
+        {"a small task needs no machine to itself", Priority::Low, Priority::High, "blue", "blue", 2, 0},
+    };
+    for (auto& row : rows) {
+        World w;
+        auto m = w.machine("m0");
+        w.running(w.spec("req-1", JobKind::Array, 1, 8, 0, row.victim, row.victim_team), {m});
+        w.job(w.spec("req-2", JobKind::Array, 1, row.waiting_cpus, 0, row.waiting, row.waiting_team));
+        EXPECT_EQ(plan_preemption(w.tables, any_machine, w.now).clearings.size(), row.clearings) << row.why;
+    }
+}
+
+TEST(Preemption, DoesNotClearTwiceForTheSameJob) {
+    World w;
+    auto m0 = w.machine("m0"), m1 = w.machine("m1");
+    w.running(w.spec("req-1", JobKind::Array, 2, 4, 0, Priority::Low), {m0, m1});
+    auto big = w.job(w.spec("req-2", JobKind::Gang, 1, 7, 0, Priority::High));
+    w.tables.machines[m0]->reserved_for = big;
+    w.tables.machines[m0]->reserved_until = w.now + 10;
+    EXPECT_TRUE(plan_preemption(w.tables, any_machine, w.now).clearings.empty());
+}
+
+TEST(Placement, FitsBestAndSparesGpus) {
+    World w;
+    auto gpu = w.machine("gpu", "gpu");
+    auto empty = w.machine("empty"), fuller = w.machine("fuller");
+    w.running(w.spec("req-1", JobKind::Array, 1, 5), {fuller});
+    auto small = w.job(w.spec("req-2", JobKind::Array, 2, 3));
+    auto needs_gpu = w.job(w.spec("req-3", JobKind::Array, 1, 1, 1, Priority::Low));
+    auto placed = place_waiting(w.tables, any_machine, w.now);
+    EXPECT_EQ(placed, (std::vector<Placement>{{small, 0, fuller, 1}, {small, 1, empty, 1}, {needs_gpu, 0, gpu, 1}}));
+}
+
+TEST(Placement, PrefersTheMachineThatHasTheImage) {
+    World w;
+    w.machine("m0");
+    auto m1 = w.machine("m1");
+    auto j = w.job(w.spec("req-1", JobKind::Array, 1, 3));
+    w.tables.machines[m1]->images = {w.tables.jobs[j]->spec.image};
+    EXPECT_EQ(place_waiting(w.tables, any_machine, w.now)[0].machine, m1);
+}
+
+TEST(Placement, KeepsToTypeZoneAndKind) {
+    struct Row {
+        const char* why;
+        const char *type, *zone;
+        bool spot;
+        size_t placed;
+    };
+    const Row rows[] = {{"all as asked", "std", "a", false, 1}, {"other type", "gpu", "a", false, 0},
+                        {"other zone", "std", "b", false, 0}, {"spot", "std", "a", true, 0}};
+    for (auto& row : rows) {
+        World w;
+        w.machine("m0", row.type, row.zone, row.spot);
+        auto s = w.spec("req-1", JobKind::Array, 1, 1);
+        s.types = {w.tables.names.types.find("std")};
+        s.zone = w.tables.names.zones.find("a");
+        s.spot = false;
+        w.job(s);
+        EXPECT_EQ(place_waiting(w.tables, any_machine, w.now).size(), row.placed) << row.why;
+    }
+}
+
+TEST(Placement, GangsGoWholeOrNotAtAllAndInOneZone) {
+    World w;
+    w.machine("a0", "std", "a");
+    auto b0 = w.machine("b0", "std", "b"), b1 = w.machine("b1", "std", "b");
+    auto s = w.spec("req-1", JobKind::Gang, 2, 7);
+    s.one_zone = true;
+    auto j = w.job(s);
+    EXPECT_EQ(place_waiting(w.tables, any_machine, w.now), (std::vector<Placement>{{j, 0, b0, 1}, {j, 1, b1, 1}}));
+    s.id = "req-2";
+    w.job(s);
+    EXPECT_TRUE(place_waiting(w.tables, any_machine, w.now).empty());
+}
+
+TEST(Placement, AGangWaitsForTheLastTaskOfItsOldAttempt) {
+    // A task of the old attempt that is on its machine still would be started twice.
+    World w;
+    auto m0 = w.machine("m0"), m1 = w.machine("m1");
+    w.machine("m2");
+    auto j = w.running(w.spec("req-1", JobKind::Gang, 2, 4), {m0, m1});
+    w.tables.jobs[j]->gang_attempt = 1;
+    w.tables.vacate(j, 0, w.now);
+    EXPECT_TRUE(place_waiting(w.tables, any_machine, w.now).empty());
+    w.tables.vacate(j, 1, w.now);
+    auto placed = place_waiting(w.tables, any_machine, w.now);
+    ASSERT_EQ(placed.size(), 2u);
+    EXPECT_EQ(placed[0].attempt, 2u);
+}
+
+TEST(Placement, SpreadsAtMostHalfOfTheTasksOverOneZone) {
+    World w;
+    w.machine("a0", "std", "a");
+    auto s = w.spec("req-1", JobKind::Array, 5, 1);
+    s.spread = true;
+    auto j = w.job(s);
+    EXPECT_EQ(place_waiting(w.tables, any_machine, w.now).size(), 3u);
+    w.machine("b0", "std", "b");
+    EXPECT_EQ(place_waiting(w.tables, any_machine, w.now).size(), 2u);
+    EXPECT_EQ(w.tables.jobs[j]->placed, 5u);
+}
+
+TEST(Placement, AnUnknownZoneHoldsBackWhatIsBoundToOne) {
+    // After a change of leader a task may be on a machine that nobody has described yet.
+    World w;
+    w.machine("m0");
+    auto s = w.spec("req-1", JobKind::Array, 2, 1);
+    s.one_zone = true;
+    auto j = w.job(s);
+    w.tables.restore_placed(j, 0, w.tables.add_machine("unheard", w.now), 1, 1);
+    EXPECT_TRUE(place_waiting(w.tables, any_machine, w.now).empty());
+}
+
+TEST(Quota, CountsEveryTaskThatMayBeThere) {
+    World w;
+    for (int i = 0; i < 6; ++i) w.machine("m" + std::to_string(i));
+    auto j = w.job(w.spec("req-1", JobKind::Array, 6, 8, 0, Priority::Normal, "red"));
+    EXPECT_EQ(place_waiting(w.tables, any_machine, w.now).size(), 4u);  // 32 CPUs at most
+    w.tables.jobs[j]->tasks[0].stopping = true;                        // told to stop is not gone
+    EXPECT_TRUE(place_waiting(w.tables, any_machine, w.now).empty());
+    w.tables.finish(j, 0, w.now);
+    EXPECT_EQ(place_waiting(w.tables, any_machine, w.now).size(), 1u);
+    EXPECT_EQ(w.tables.teams[0].used, (Resources{32000, 0, 4000}));
+}
+
+TEST(Order, PriorityThenGuaranteeThenDeadline) {
+    World w;
+    auto late = w.job(w.spec("req-1", JobKind::Array, 1, 1, 0, Priority::Low));
+    auto due_spec = w.spec("req-2", JobKind::Array, 1, 1, 0, Priority::Low);
+    due_spec.deadline_s = 50;
+    auto due = w.job(due_spec);
+    auto owed = w.job(w.spec("req-3", JobKind::Array, 1, 1, 0, Priority::Low, "red"));
+    auto high = w.job(w.spec("req-4", JobKind::Array, 1, 1, 0, Priority::High));
+    EXPECT_EQ(waiting_jobs(w.tables, w.now), (std::vector<Index>{high, owed, due, late}));
+}
+
+TEST(Sizing, RentsForWhatNeitherFitsNorIsComing) {
+    World w;
+    auto std_type = w.tables.names.types.find("std");
+    auto zone_a = w.tables.names.zones.find("a"), zone_b = w.tables.names.zones.find("b");
+    w.job(w.spec("req-1", JobKind::Array, 17, 1));
+    EXPECT_EQ(plan_rentals(w.tables, any_machine, w.now), (std::vector<Rental>{{std_type, zone_a, true, 3}}));
+    // A machine that is coming up already counts, whether the list shows it or not.
+    auto& m = *w.tables.machines[w.machine("m0", "std", "a", true)];
+    m.up = false;
+    EXPECT_EQ(plan_rentals(w.tables, any_machine, w.now), (std::vector<Rental>{{std_type, zone_a, true, 2}}));
+    // Refused there: the next cheapest offer.
+    w.tables.refusals.push_back({w.now + 10, {std_type, zone_a, true}});
+    EXPECT_EQ(plan_rentals(w.tables, any_machine, w.now), (std::vector<Rental>{{std_type, zone_b, true, 2}}));
+}
+
+TEST(Sizing, ReturnsIdleGivenUpAndFailedMachines) {
+    World w;
+    auto idle = w.machine("idle"), busy = w.machine("busy"), doomed = w.machine("doomed"), fresh = w.machine("fresh");
+    w.running(w.spec("req-1", JobKind::Array, 1, 1), {busy});
+    w.tables.machines[doomed]->doomed = true;
+    w.now += 31;
+    w.tables.machines[fresh]->up_at = w.now;
+    EXPECT_EQ(plan_returns(w.tables, {1.0}, w.now), (std::vector<Index>{idle, doomed}));
+}
+
+}  // namespace
+}  // namespace weirmill
--- /dev/null
+++ b/tests/fixtures.h
@@ -0,0 +1,81 @@
+// Tables and settings for tests, built in a few words.
+#pragma once
+#include "bookkeeping/ledger.h"
+#include "bookkeeping/tables.h"
+
+namespace weirmill::test {
+
+inline Settings small_settings() {
+    Settings s;
+    s.name = "node-0";
+    s.zone = "a";
+    s.api = s.peer = s.cloud = s.state = {"127.0.0.1", 0};
+    s.zones = {"a", "b"};
+    s.teams = {{"red", 16, 32, 2, 4}, {"blue", 0, 0, 0, 0}};
+    s.report_s = 2;
+    s.lease_s = 18;
+    s.gang_wait_s = 30;
+    s.gang_peer_s = 5;
+    s.cancel_s = 38;
+    s.state_rps = 100;
+    s.state_write_rps = 40;
+    s.value_kb = 4;
+    s.txn_ops = 12;
+    s.cloud_rps = 10;
+    s.list_lag_s = 1;
+    s.cpu_share = 1;
+    s.mem_mb = 56;
+    s.max_sockets = 500;
+    return s;
+}
+
+// One type `std` of 8 CPUs, one `gpu` of 8 CPUs and 4 GPUs, in zones a and b.
+struct World {
+    Settings settings = small_settings();
+    Tables tables{settings};
+    double now = 100;
+
+    World() {
+        MachineType std_type{"std", {8000, 0, 64000}, 50, 1, 1.0, 0.4, 30, {"a", "b"}};
+        MachineType gpu_type{"gpu", {8000, 4000, 64000}, 50, 1, 10.0, 4.0, 30, {"a", "b"}};
+        tables.set_types({std_type, gpu_type});
+    }
+    Index machine(const std::string& name, const std::string& type = "std", const std::string& zone = "a", bool spot = false) {
+        auto i = tables.add_machine(name, now);
+        auto& m = *tables.machines[i];
+        tables.describe_machine(m, type, zone, spot);
+        m.up = true;
+        m.session = 1;
+        m.up_at = m.last_report = now;
+        return i;
+    }
+    JobSpec spec(const std::string& id, JobKind kind, uint32_t tasks, double cpus, double gpus = 0,
+                 Priority priority = Priority::Normal, const std::string& team = "blue") {
+        JobSpec s;
+        s.id = id;
+        s.kind = kind;
+        s.tasks = tasks;
+        s.need = {milli_up(cpus), milli_up(gpus), 1000};
+        s.priority = priority;
+        s.team = tables.names.teams.find(team);
+        s.job_class = tables.names.classes.intern("class");
+        s.image = tables.names.images.intern("image");
+        s.spot = true;
+        return s;
+    }
+    Index job(JobSpec s) {
+        auto i = tables.add_job(std::move(s), 1000, now);
+        tables.jobs[i]->version = 1;
+        return i;
+    }
+    // A job with one task on each of these machines.
+    Index running(JobSpec s, const std::vector<Index>& on) {
+        auto j = job(std::move(s));
+        for (uint32_t t = 0; t < on.size(); ++t) tables.place(j, t, on[t], 1, now);
+        return j;
+    }
+};
+
+inline bool any_machine(const Machine& m) { return m.up; }
+
+}  // namespace weirmill::test
--- /dev/null
+++ b/tests/service_test.cpp
@@ -0,0 +1,245 @@
+// The whole service over loopback against stand-ins. Every case waits for conditions, never for a time, and
+// what must not happen is noted by the stand-ins when it does.
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include "coordination/front.h"
+#include "fixtures.h"
+#include "standin/standins.h"
+
+namespace weirmill {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr double kPatience_s = 120;
+
+struct Service {
+    // The stand-ins end last: connections of the controllers hold on to them.
+    asio::io_context io{1};
+    Settings base = test::small_settings();
+    Properties properties;
+    std::vector<std::unique_ptr<Settings>> settings;
+    std::vector<std::unique_ptr<asio::io_context>> node_io;
+    std::unique_ptr<standin::State> state;
+    std::unique_ptr<standin::Cloud> cloud;
+    std::vector<std::unique_ptr<Front>> nodes;
+    std::vector<bool> alive;
+
+    explicit Service(int count) {
+        spdlog::set_level(spdlog::level::off);
+        base.report_s = 0.1;
+        base.lease_s = 2;
+        base.cancel_s = 6;
+        base.list_lag_s = 0.2;
+        base.cloud_rps = 50;
+        properties.election_lease_s = 1.5;
+        properties.preemption_round_s = 0.5;
+        properties.idle_keep_boots = 100;
+        state = std::make_unique<standin::State>(io);
+        cloud = std::make_unique<standin::Cloud>(io, base);
+        base.state = state->at();
+        base.cloud = cloud->at();
+        for (int i = 0; i < count; ++i) add_node(i);
+        for (int i = 0; i < count; ++i)
+            for (int k = 0; k < count; ++k)
+                if (i != k) settings[i]->peers.push_back({settings[k]->name, "a", {"127.0.0.1", nodes[k]->peer_port()}});
+    }
+    ~Service() {
+        // The cases end in the middle of things: what still waits is dropped with its io_context.
+        for (auto& n : nodes) n.release();
+    }
+
+    void add_node(int i) {
+        settings.push_back(std::make_unique<Settings>(base));
+        settings.back()->name = "node-" + std::to_string(i);
+        node_io.push_back(std::make_unique<asio::io_context>(1));
+        nodes.push_back(std::make_unique<Front>(*node_io.back(), *settings.back(), properties));
+        alive.push_back(true);
+        cloud->nodes.push_back({"127.0.0.1", nodes.back()->api_port()});
+        cloud->node_names.push_back(settings.back()->name);
+    }
+    // As after kill -9: nothing of the node runs any more. Its sockets stay silent.
+    void crash(int i) { alive[i] = false; }
+
+    void turn() {
+        for (size_t i = 0; i < node_io.size(); ++i)
+            if (alive[i]) node_io[i]->poll();
+        io.run_one_for(std::chrono::milliseconds(1));
+    }
+    bool until(const std::function<bool()>& condition) {
+        for (double end = steady_now() + kPatience_s; steady_now() < end;) {
+            if (condition()) return true;
+            turn();
+        }
+        return false;
+    }
+    HttpAnswer ask(const char* method, const std::string& target, const std::string& body = "") {
+        for (double end = steady_now() + kPatience_s; steady_now() < end;) {
+            for (size_t i = 0; i < nodes.size(); ++i) {
+                if (!alive[i]) continue;
+                auto reply = ask_node(i, method, target, body);
+                if (reply && reply->status != 503) return *reply;
+            }
+            for (int k = 0; k < 50; ++k) turn();
+        }
+        return {};
+    }
+    std::optional<HttpAnswer> ask_node(size_t i, const char* method, const std::string& target, const std::string& body) {
+        auto client = std::make_shared<HttpClient>(io, Endpoint{"127.0.0.1", nodes[i]->api_port()}, 1024 * 1024);
+        auto out = std::make_shared<std::optional<HttpAnswer>>();
+        auto over = std::make_shared<bool>(false);
+        asio::co_spawn(
+            io,
+            [](std::shared_ptr<HttpClient> client, const char* method, std::string target, std::string body,
+               std::shared_ptr<std::optional<HttpAnswer>> out, std::shared_ptr<bool> over) -> asio::awaitable<void> {
+                *out = co_await client->request(method, target, body, 5);
+                *over = true;
+            }(client, method, target, body, out, over),
+            asio::detached);
+        until([&] { return *over; });
+        return *out;
+    }
+    static std::string submission(const std::string& id, const std::string& kind, int tasks, double cpus = 1) {
+        return json::serialize(json::object{
+            {"name_id", id}, {"lot_class", "c"}, {"consignor", "blue"}, {"sale_kind", kind}, {"urgency", "normal"},
+            {"lots", tasks}, {"cores", cpus}, {"accelerators", 0.0}, {"mem_gb", 1.0}, {"bundle", "i"}, {"size_gb", 1.0},
+            {"same_place", false}, {"scatter", false}, {"loaners", true}, {"expected_s", 1.0}, {"tally_s", 0.0}, {"bank_s", 0.0}});
+    }
+    int submit(const std::string& id, const std::string& kind, int tasks, standin::Job job = {}) {
+        job.gang = kind == "ensemble";
+        job.tasks = static_cast<uint32_t>(tasks);
+        cloud->jobs[id] = job;
+        return ask("POST", "/v2/runs", submission(id, kind, tasks)).status;
+    }
+    std::string status(const std::string& id) {
+        auto a = ask("GET", "/v2/runs/" + id);
+        return a.status == 200 ? std::string(json::parse(a.body).at("status").as_string()) : std::to_string(a.status);
+    }
+    bool done(const std::string& id) {
+        return until([&] { return state->keys().count("f/" + id) > 0; }) && status(id) == "done";
+    }
+    std::string leader() {
+        auto keys = state->keys();
+        auto it = keys.find("leader");
+        return it == keys.end() ? "" : std::string(it->second.at("name").as_string());
+    }
+};
+
+TEST(Service, RunsArraysAndGangsAndAnswersWhatItCannotTake) {
+    Service s(1);
+    EXPECT_EQ(s.submit("req-1", "array", 3), 201);
+    EXPECT_EQ(s.submit("req-2", "ensemble", 2), 201);
+    EXPECT_TRUE(s.done("req-1"));
+    EXPECT_TRUE(s.done("req-2"));
+    EXPECT_EQ(s.submit("req-1", "array", 3), 200);  // a retry, however late
+    struct Row {
+        const char *method, *target;
+        std::string body;
+        int status;
+    };
+    auto unknown_team = json::parse(Service::submission("req-7", "array", 1)).as_object();
+    unknown_team["consignor"] = "nobody";
+    const Row rows[] = {
+        {"POST", "/v2/runs", "{", 400},
+        {"POST", "/v2/runs", json::serialize(unknown_team), 422},
+        {"POST", "/v2/runs", Service::submission("req-8", "array", 1, 100), 422},
+        {"GET", "/v2/runs/req-999", "", 404},
+        {"GET", "/v2/runs/else", "", 404},
+        {"POST", "/v2/runs/req-999/cancel", "", 404},
+        {"POST", "/v2/runs/req-1/cancel", "", 200},
+        {"POST", "/v2/runs", std::string(70000, 'x'), 413},
+        {"POST", "/v1/report", "{}", 400},
+        {"DELETE", "/v2/runs", "", 405},
+        {"GET", "/elsewhere", "", 404},
+        {"GET", "/healthz", "", 200},
+    };
+    for (auto& row : rows) EXPECT_EQ(s.ask(row.method, row.target, row.body).status, row.status) << row.target << " " << row.body.substr(0, 80);
+    EXPECT_EQ(s.status("req-1"), "done");
+    EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
+}
+
+TEST(Service, AFollowerForwardsAndTakesOverWhenTheLeaderCrashes) {
+    Service s(3);
+    EXPECT_EQ(s.submit("req-1", "array", 2), 201);
+    EXPECT_TRUE(s.done("req-1"));
+    EXPECT_EQ(s.submit("req-2", "array", 4, {3.0}), 201);
+    ASSERT_TRUE(s.until([&] { return s.cloud->on_some_machine("req-2"); }));
+    auto old = s.leader();
+    s.crash(old.back() - '0');
+    ASSERT_TRUE(s.until([&] { return !s.leader().empty() && s.leader() != old; }));
+    EXPECT_TRUE(s.done("req-2"));
+    EXPECT_EQ(s.status("req-1"), "done");
+    EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
+}
+
+TEST(Service, ATransactionWhoseAnswerIsLostIsNotAppliedTwiceNorForgotten) {
+    Service s(1);
+    EXPECT_EQ(s.submit("req-1", "array", 1), 201);
+    EXPECT_TRUE(s.done("req-1"));
+    s.state->lose_txn_answers = 1;
+    int status = s.submit("req-2", "array", 2);  // 503 first, as the outcome is unknown; then known
+    EXPECT_TRUE(status == 200 || status == 201) << status;
+    EXPECT_TRUE(s.done("req-2"));
+    EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
+}
+
+TEST(Service, ATransactionAppliedLateChangesNothing) {
+    Service s(1);
+    EXPECT_EQ(s.submit("req-1", "array", 1), 201);
+    EXPECT_TRUE(s.done("req-1"));
+    s.state->delay_txns = 2;
+    int status = s.submit("req-2", "array", 2);
+    EXPECT_TRUE(status == 200 || status == 201) << status;
+    EXPECT_TRUE(s.done("req-2"));
+    for (auto& [key, value] : s.state->keys()) EXPECT_FALSE(key.starts_with("j/") || key.starts_with("t/")) << key;
+    EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
+}
+
+TEST(Service, ASilentMachinesTasksRunElsewhereOnlyAfterItsLease) {
+    Service s(1);
+    EXPECT_EQ(s.submit("req-1", "array", 1, {1.0}), 201);
+    ASSERT_TRUE(s.until([&] { return s.cloud->on_some_machine("req-1"); }));
+    for (auto& [n, w] : s.cloud->workers) w->silent = true;
+    EXPECT_TRUE(s.done("req-1"));
+    EXPECT_EQ(s.cloud->starts["req-1/0"], 2);
+    EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
+}
+
+TEST(Service, ACancellationReachesTasksWhoseStartIsUnderWay) {
+    Service s(1);
+    s.cloud->held_starts = true;
+    EXPECT_EQ(s.submit("req-1", "standing", 2, {1000}), 201);
+    ASSERT_TRUE(s.until([&] {
+        auto keys = s.state->keys();
+        return keys.count("t/req-1/0") && !s.cloud->workers.empty();
+    }));
+    auto a = s.ask("POST", "/v2/runs/req-1/cancel");
+    EXPECT_EQ(a.status, 200);
+    EXPECT_EQ(json::parse(a.body).at("status"), "aborted");
+    s.cloud->held_starts = false;
+    ASSERT_TRUE(s.until([&] { return s.state->keys().count("f/req-1") > 0; }));
+    EXPECT_FALSE(s.cloud->on_some_machine("req-1"));
+    EXPECT_EQ(s.status("req-1"), "aborted");
+    EXPECT_EQ(s.submit("req-1", "standing", 2), 200);
+}
+
+TEST(Service, AnOutageOfTheStateServiceIsAnsweredAtOnceAndWorkOutlivesIt) {
+    Service s(1);
+    EXPECT_EQ(s.submit("req-1", "array", 1, {2.0}), 201);
+    ASSERT_TRUE(s.until([&] { return s.cloud->on_some_machine("req-1"); }));
+    s.state->down = true;
+    ASSERT_TRUE(s.until([&] {
+        auto reply = s.ask_node(0, "POST", "/v2/runs", Service::submission("req-2", "array", 1));
+        return reply && reply->status == 503;
+    }));
+    s.state->end_outage();
+    EXPECT_TRUE(s.done("req-1"));
+    EXPECT_EQ(s.submit("req-2", "array", 1) / 100, 2);
+    EXPECT_TRUE(s.done("req-2"));
+    EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
+}
+
+}  // namespace
+}  // namespace weirmill
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,118 @@
+#include "settings/settings.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+
+namespace weirmill {
+namespace {
+
+const char* kSound = R"(
+host_name = "millstone-0"
+site = "a"
+api_addr = "10.0.0.1:8080"
+peer_bind = "10.0.0.1:8081"
+something_new = 3
+[[seeds]]
+host_name = "millstone-1"
+site = "b"
+addr = "10.0.0.2:8081"
+[external]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[deployment]
+zones = ["a", "b"]
+clock_off_ms = 100.0
+[[deployment.teams]]
+name = "red"
+cpus = 64.0
+cpus_max = 136.0
+gpus = 4.0
+gpus_max = 12.0
+[deployment.workers]
+report_s = 2.5
+lease_s = 18.0
+gang_wait_s = 30.0
+gang_peer_s = 5.0
+cancel_s = 38.0
+[deployment.state]
+rps = 120.0
+write_rps = 40.0
+value_kb = 32.0
+txn_ops = 24
+[deployment.cloud]
+rps = 8.0
+list_lag_s = 5.0
+[deployment.resources]
+cpu = 0.12
+mem_mb = 56.0
+max_sockets = 1500
+)";
+
+struct File {
+    std::string path;
+    explicit File(const std::string& text) {
+        char name[] = "/tmp/weirmill-test-XXXXXX";
+        int fd = mkstemp(name);
+        path = name;
+        std::ofstream(path) << text;
+        close(fd);
+    }
+    ~File() { std::remove(path.c_str()); }
+};
+
+std::string error_of(const std::string& text) {
+    try {
+        load_settings(File(text).path);
+        return "";
+    } catch (const SettingsError& e) {
+        return e.what();
+    }
+}
+
+TEST(Settings, ReadsThePlatformsFile) {
+    auto s = load_settings(File(kSound).path);
+    EXPECT_EQ(s.name, "millstone-0");
+    EXPECT_EQ(s.peers.at(0).addr.port, 8081);
+    EXPECT_EQ(s.teams.at(0).cpus_max, 136);
+    EXPECT_EQ(s.txn_ops, 24);
+}
+
+TEST(Settings, NamesWhatIsWrong) {
+    struct Row {
+        const char *from, *to, *named;
+    };
+    const Row rows[] = {
+        {"host_name = \"millstone-0\"", "", "host_name"},
+        {"10.0.0.1:8080", "10.0.0.1", "api_addr"},
+        {"10.2.0.1:2379", "10.2.0.1:99999", "external.state"},
+        {"lease_s = 18.0", "lease_s = \"long\"", "deployment.workers.lease_s"},
+        {"lease_s = 18.0", "lease_s = -1.0", "deployment.workers.lease_s"},
+        {"cancel_s = 38.0", "cancel_s = 10.0", "deployment.workers.cancel_s"},
+        {"zones = [\"a\", \"b\"]", "zones = []", "deployment.zones"},
+        {"cpus_max = 136.0", "cpus_max = nan", "cpus_max"},
+        {"host_name = \"millstone-1\"", "host_name = \"millstone-0\"", "seeds[0].host_name"},
+        {"mem_mb = 56.0", "", "deployment.resources.mem_mb"},
+        {"[external]", "[external", ""},
+    };
+    for (auto& row : rows) {
+        std::string text = kSound;
+        text.replace(text.find(row.from), std::string(row.from).size(), row.to);
+        auto error = error_of(text);
+        EXPECT_NE(error, "") << row.to;
+        EXPECT_NE(error.find(row.named), std::string::npos) << error;
+    }
+    EXPECT_THROW(load_settings("/nonexistent.toml"), SettingsError);
+}
+
+TEST(Properties, HaveDefaultsAndRanges) {
+    EXPECT_EQ(load_properties(File("# nothing set\n").path).preemption_round_s, 10.0);
+    EXPECT_EQ(load_properties(File("preemption.round_s = 4.5\n").path).preemption_round_s, 4.5);
+    for (const char* bad : {"preemption.round_s = 0\n", "preemption.round_s = often\n", "election.lease_s: 1000\n"})
+        EXPECT_THROW(load_properties(File(bad).path), SettingsError) << bad;
+    EXPECT_THROW(load_properties("/nonexistent.properties"), SettingsError);
+}
+
+}  // namespace
+}  // namespace weirmill
--- /dev/null
+++ b/tests/standin/standins.cpp
@@ -0,0 +1,289 @@
+#include "standin/standins.h"
+
+#include <charconv>
+
+namespace weirmill::standin {
+
+namespace {
+
+std::string query(const std::string& target, const std::string& name) {
+    auto at = target.find(name + "=");
+    if (at == std::string::npos) return "";
+    at += name.size() + 1;
+    return target.substr(at, target.find('&', at) - at);
+}
+
+HttpReply answer(int status, const json::value& v) { return {status, json::serialize(v)}; }
+
+}  // namespace
+
+State::State(asio::io_context& io) : server_(io, kLoopback, 1000, [this](HttpRequest r) { return handle(std::move(r)); }) {}
+
+std::map<std::string, json::value> State::keys() const {
+    std::map<std::string, json::value> out;
+    for (auto& [k, i] : items_) out[k] = i.value;
+    return out;
+}
+
+void State::end_outage() {
+    down = false;
+    for (auto& [id, lease] : leases_) lease.until = steady_now() + lease.ttl;
+}
+
+void State::expire() {
+    if (down) return;
+    for (auto it = leases_.begin(); it != leases_.end();) {
+        if (steady_now() < it->second.until) {
+            ++it;
+            continue;
+        }
+        if (std::erase_if(items_, [&](auto& i) { return i.second.lease == it->first; })) ++revision_;
+        it = leases_.erase(it);
+    }
+}
+
+json::object State::item_json(const std::string& key, const Item& i) const {
+    json::object o{{"path", key}, {"value", i.value}, {"stamp", i.version}};
+    if (i.lease) o["permit"] = i.lease;
+    return o;
+}
+
+HttpReply State::apply(const json::object& txn) {
+    json::array failed;
+    for (auto& c : txn.at("when").as_array()) {
+        std::string key(c.at("path").as_string());
+        auto it = items_.find(key);
+        uint64_t version = it == items_.end() ? 0 : it->second.version;
+        if (version != c.at("stamp").to_number<uint64_t>()) failed.emplace_back(key);
+    }
+    if (!failed.empty()) return answer(409, json::object{{"failed", failed}, {"ledger", revision_}});
+    ++revision_;
+    for (auto& c : txn.at("then").as_array()) {
+        auto& o = c.as_object();
+        if (auto* drop = o.if_contains("drop")) {
+            items_.erase(std::string(drop->as_string()));
+        } else {
+            uint64_t lease = o.contains("permit") ? o.at("permit").to_number<uint64_t>() : 0;
+            if (lease && !leases_.count(lease)) return answer(400, json::object{{"error", "no such lease"}});
+            items_[std::string(o.at("write").as_string())] = {o.at("value"), revision_, lease};
+        }
+    }
+    return answer(200, json::object{{"ledger", revision_}});
+}
+
+asio::awaitable<HttpReply> State::handle(HttpRequest r) {
+    expire();
+    std::string path = r.target.substr(0, r.target.find('?'));
+    if (path == "/follow") {
+        uint64_t from = std::stoull(query(r.target, "from"));
+        for (double until = steady_now() + std::stod(query(r.target, "block_ms")) / 1000;
+             steady_now() < until && (down || revision_ <= from);) {
+            co_await sleep_s(0.02);
+            expire();
+        }
+        json::array events;
+        if (revision_ > from) events.push_back(json::object{{"drop", "unsaid"}, {"stamp", revision_}});
+        co_return answer(200, json::object{{"ledger", revision_}, {"events", events}});
+    }
+    if (down) co_return answer(503, json::object{});
+    if (path == "/multi") {
+        auto txn = json::parse(r.body).as_object();
+        if (delay_txns > 0) {
+            --delay_txns;
+            co_await sleep_s(1.6);
+            co_return apply(txn);
+        }
+        auto reply = apply(txn);
+        if (lose_txn_answers > 0) {
+            --lose_txn_answers;
+            co_await sleep_s(1.6);
+        }
+        co_return reply;
+    }
+    if (path == "/leases") {
+        double ttl = json::parse(r.body).at("ttl_ms").to_number<double>() / 1000;
+        leases_[next_lease_] = {ttl, steady_now() + ttl};
+        co_return answer(200, json::object{{"permit", next_lease_++}});
+    }
+    if (path.starts_with("/leases/")) {
+        auto it = leases_.find(std::stoull(path.substr(8)));
+        if (it == leases_.end()) co_return answer(404, json::object{});
+        it->second.until = steady_now() + it->second.ttl;
+        co_return answer(200, json::object{});
+    }
+    if (path == "/keys") {
+        auto prefix = query(r.target, "starts"), after = query(r.target, "from");
+        size_t most = std::stoul(query(r.target, "most"));
+        json::array pairs;
+        bool more = false;
+        for (auto& [key, item] : items_) {
+            if (!key.starts_with(prefix) || key <= after) continue;
+            if (pairs.size() == most) {
+                more = true;
+                break;
+            }
+            pairs.push_back(item_json(key, item));
+        }
+        co_return answer(200, json::object{{"pairs", pairs}, {"has_next", more}, {"ledger", revision_}});
+    }
+    if (path.starts_with("/keys/")) {
+        auto it = items_.find(path.substr(6));
+        if (it == items_.end()) co_return answer(404, json::object{{"ledger", revision_}});
+        co_return answer(200, item_json(it->first, it->second));
+    }
+    co_return answer(400, json::object{});
+}
+
+Worker::Worker(asio::io_context& io, Cloud& cloud, std::string name, std::string type, std::string zone, bool spot)
+    : name(std::move(name)), type(std::move(type)), zone(std::move(zone)), spot(spot), io_(io), cloud_(cloud),
+      lease_from_(steady_now()), server_(io, kLoopback, 100, [this](HttpRequest r) { return handle(std::move(r)); }) {}
+
+void Worker::start() { asio::co_spawn(io_, live(shared_from_this()), asio::detached); }
+
+json::object Worker::report() {
+    json::array lots;
+    for (auto& [id, t] : tasks_) {
+        json::object o{{"lot", id}, {"try", t.attempt}, {"status", t.state}};
+        if (!t.cause.empty()) o["cause"] = t.cause;
+        if (t.saved) o["kept"] = true;
+        lots.push_back(std::move(o));
+    }
+    return {{"millstone", name}, {"addr", addr()}, {"rig", type}, {"yard", zone}, {"loaners", spot},
+            {"shift", session_}, {"tick", ++seq_}, {"gavel", token_}, {"recall_s", nullptr}, {"lots", lots}};
+}
+
+void Worker::step() {
+    double now = steady_now();
+    if (now - lease_from_ > cloud_.settings.lease_s) {
+        tasks_.clear();
+        ++session_;
+        lease_from_ = now;
+    }
+    for (auto& [id, t] : tasks_) {
+        if (t.state != "running") continue;
+        auto job = id.substr(0, id.rfind('/'));
+        if (now < t.ends) continue;
+        t.state = "exited";
+        t.cause = cloud_.jobs[job].fails ? "error" : "done";
+    }
+}
+
+void Worker::execute(const json::array& orders) {
+    if (cloud_.held_starts) return;
+    for (auto& v : orders) {
+        auto& o = v.as_object();
+        std::string lot(o.at("lot").as_string()), op(o.at("order").as_string());
+        uint64_t attempt = o.at("try").to_number<uint64_t>();
+        auto it = tasks_.find(lot);
+        if (op == "launch") {
+            if (it != tasks_.end()) {
+                if (it->second.attempt != attempt) cloud_.broken.push_back("busy " + lot);
+                continue;
+            }
+            for (auto& [n, other] : cloud_.workers)
+                if (other.get() != this && !other->dead() && other->tasks_.count(lot) && other->tasks_[lot].state != "exited")
+                    cloud_.broken.push_back("ran_twice " + lot);
+            auto job = lot.substr(0, lot.rfind('/'));
+            ++cloud_.starts[lot];
+            tasks_[lot] = {attempt, "running", "", steady_now() + cloud_.jobs[job].run_s};
+        } else if (op == "stop") {
+            if (it != tasks_.end() && it->second.attempt == attempt && it->second.state != "exited") {
+                it->second.state = "exited";
+                it->second.cause = "stopped";
+            }
+        } else if (it != tasks_.end() && it->second.state == "exited" && it->second.attempt == attempt) {
+            tasks_.erase(it);
+        }
+    }
+}
+
+asio::awaitable<HttpReply> Worker::handle(HttpRequest r) {
+    if (dead_ || silent) co_return HttpReply{500, "{}"};
+    step();
+    auto v = json::parse(r.body).as_object();
+    auto token = v.at("gavel").to_number<uint64_t>();
+    if (token < token_ || v.at("shift").to_number<uint64_t>() != session_) co_return answer(409, report());
+    token_ = token;
+    execute(v.at("orders").as_array());
+    co_return answer(200, report());
+}
+
+asio::awaitable<void> Worker::live(std::shared_ptr<Worker> self) {
+    size_t node = 0;
+    while (!dead_) {
+        co_await sleep_s(cloud_.settings.report_s);
+        step();
+        if (dead_ || silent || cloud_.nodes.empty()) continue;
+        double sent = steady_now();
+        uint64_t session = session_;
+        HttpClient client(io_, cloud_.nodes[node % cloud_.nodes.size()], 1024 * 1024);
+        auto reply = co_await client.request("POST", "/v1/report", json::serialize(report()), 4);
+        if (dead_ || silent) continue;
+        if (reply && reply->status == 200) {
+            auto v = json::parse(reply->body).as_object();
+            auto token = v.at("gavel").to_number<uint64_t>();
+            if (token < token_ || session != session_) continue;
+            token_ = token;
+            lease_from_ = sent;
+            execute(v.at("orders").as_array());
+            continue;
+        }
+        ++node;
+        if (reply && reply->status == 421) {
+            auto v = json::parse(reply->body).as_object();
+            if (auto* clerk = v.if_contains("clerk"))
+                for (size_t i = 0; i < cloud_.node_names.size(); ++i)
+                    if (cloud_.node_names[i] == clerk->as_string()) node = i;
+        }
+    }
+    (void)self;
+}
+
+Cloud::Cloud(asio::io_context& io, const Settings& s)
+    : settings(s), io_(io), server_(io, kLoopback, 1000, [this](HttpRequest r) { return handle(std::move(r)); }) {}
+
+bool Cloud::on_some_machine(const std::string& job) const {
+    for (auto& [n, w] : workers)
+        for (auto& [lot, t] : w->tasks_)
+            if (!w->dead() && t.state != "exited" && lot.starts_with(job + "/")) return true;
+    return false;
+}
+
+asio::awaitable<HttpReply> Cloud::handle(HttpRequest r) {
+    std::string path = r.target.substr(0, r.target.find('?'));
+    if (path == "/machine_types")
+        co_return HttpReply{200, R"({"rigs":[{"label":"std","cores":8,"accelerators":0,"mem_gb":64,"local_gb":50,
+            "fetch_gb_per_s":1.0,"hourly":1.0,"spot_price":0.5,"startup_s":20,"yards":["a","b"]}]})"};
+    if (path == "/machines/return") {
+        for (auto& v : json::parse(r.body).at("millstones").as_array()) {
+            auto it = workers.find(std::string(v.as_string()));
+            if (it != workers.end()) it->second->kill();
+        }
+        co_return answer(200, json::object{});
+    }
+    if (path == "/machines" && r.method == "POST") {
+        auto v = json::parse(r.body).as_object();
+        std::string hire(v.at("hire").as_string());
+        if (!hires.insert(hire).second) co_return answer(200, json::object{{"millstones", answers_[hire]}});
+        json::array names;
+        for (int i = 0; i < v.at("count").to_number<int>(); ++i) {
+            char name[16];
+            std::snprintf(name, sizeof name, "vm-%06d", next_++);
+            auto w = std::make_shared<Worker>(io_, *this, name, std::string(v.at("rig").as_string()),
+                                              std::string(v.at("yard").as_string()), v.at("loaners").as_bool());
+            workers[name] = w;
+            w->start();
+            names.emplace_back(name);
+        }
+        answers_[hire] = names;
+        co_return answer(200, json::object{{"millstones", names}});
+    }
+    json::array list;
+    for (auto& [n, w] : workers)
+        if (!w->dead())
+            list.push_back(json::object{{"name_id", n}, {"addr", w->addr()}, {"rig", w->type}, {"yard", w->zone},
+                                        {"loaners", w->spot}, {"status", "running"}, {"age_s", 1.0}});
+    co_return answer(200, json::object{{"millstones", list}, {"has_next", false}});
+}
+
+}  // namespace weirmill::standin
--- /dev/null
+++ b/tests/standin/standins.h
@@ -0,0 +1,122 @@
+// Stand-ins for the outside systems, on loopback, that speak their published protocols: the state service,
+// the cloud with its workers, and a user. They share the io_context of the controllers under test.
+#pragma once
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <functional>
+#include <map>
+#include <set>
+
+#include "transport/http_client.h"
+#include "transport/http_server.h"
+#include "transport/one_shot.h"
+
+namespace weirmill::standin {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+inline const Endpoint kLoopback{"127.0.0.1", 0};
+
+// Keys, transactions, leases, watches. Faults are switched by the test.
+class State {
+  public:
+    explicit State(asio::io_context& io);
+    Endpoint at() const { return {"127.0.0.1", server_.port()}; }
+
+    bool down = false;             // 503 to all; leases have their full time again afterwards
+    int lose_txn_answers = 0;      // the next transactions are executed, but not answered in time
+    int delay_txns = 0;            // the next transactions are executed late, after their sender gave up
+    std::map<std::string, json::value> keys() const;
+    void end_outage();
+
+  private:
+    struct Item {
+        json::value value;
+        uint64_t version, lease;
+    };
+    asio::awaitable<HttpReply> handle(HttpRequest r);
+    HttpReply apply(const json::object& txn);
+    void expire();
+    json::object item_json(const std::string& key, const Item& i) const;
+
+    std::map<std::string, Item> items_;
+    struct Lease {
+        double ttl, until;
+    };
+    std::map<uint64_t, Lease> leases_;
+    uint64_t revision_ = 0, next_lease_ = 1;
+    HttpServer server_;
+};
+
+struct Job {
+    double run_s = 0.2;
+    bool gang = false;
+    uint32_t tasks = 1;
+    bool fails = false;
+};
+
+class Cloud;
+
+// One machine's worker: reports to the controllers and runs tasks.
+class Worker : public std::enable_shared_from_this<Worker> {
+  public:
+    Worker(asio::io_context& io, Cloud& cloud, std::string name, std::string type, std::string zone, bool spot);
+    void start();
+    void kill() { dead_ = true, tasks_.clear(); }
+    bool dead() const { return dead_; }
+    bool silent = false;  // its packets are lost; its tasks run on, until its lease ends
+    const std::string name, type, zone;
+    const bool spot;
+    std::string addr() const { return "127.0.0.1:" + std::to_string(server_.port()); }
+
+  private:
+    struct Task {
+        uint64_t attempt;
+        std::string state, cause;
+        double ends;
+        bool saved = false;
+    };
+    asio::awaitable<void> live(std::shared_ptr<Worker> self);
+    asio::awaitable<HttpReply> handle(HttpRequest r);
+    void step();
+    void execute(const json::array& orders);
+    json::object report();
+
+    asio::io_context& io_;
+    Cloud& cloud_;
+    bool dead_ = false;
+    uint64_t session_ = 1, seq_ = 0, token_ = 0;
+    double lease_from_;
+    std::map<std::string, Task> tasks_;
+    HttpServer server_;
+    friend class Cloud;
+};
+
+// Rents machines, and sees all that runs: it tells when a rule is broken.
+class Cloud {
+  public:
+    Cloud(asio::io_context& io, const Settings& settings);
+    Endpoint at() const { return {"127.0.0.1", server_.port()}; }
+
+    std::vector<Endpoint> nodes;       // where workers report
+    std::vector<std::string> node_names;
+    std::map<std::string, Job> jobs;   // what users uploaded for the workers
+    std::map<std::string, std::shared_ptr<Worker>> workers;
+    std::vector<std::string> broken;   // rules
+    std::map<std::string, int> starts; // by task
+    std::set<std::string> hires;
+    bool held_starts = false;          // launches are received but not executed until this ends
+    const Settings& settings;
+    bool on_some_machine(const std::string& job) const;
+
+  private:
+    asio::awaitable<HttpReply> handle(HttpRequest r);
+    asio::io_context& io_;
+    std::map<std::string, json::array> answers_;
+    int next_ = 1;
+    HttpServer server_;
+    friend class Worker;
+};
+
+}  // namespace weirmill::standin
