Record the machine types, so that a new leader can decide while the cloud is down

The new leader leads at 209 s, but answers 503 to every submission until it has read the machine types. Ruled out: election and loading (ready 0.1 s after the lease ends).

--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -65,7 +65,8 @@
 
 bool Ledger::waiting() const {
     return !new_jobs_.empty() || !cancels_.empty() || !finishes_.empty() || !tables_.changed_chunks.empty() ||
-           !sweeps_.empty() || !round_.empty();
+           !sweeps_.empty() ||
+           std::any_of(notes_.begin(), notes_.end(), [](auto& n) { return !n.second.record.empty(); });
 }
 
 LedgerBatch Ledger::next(int ops) {
@@ -151,11 +152,12 @@
         change(chunk_key(job.spec.id, c), std::move(record));
         b.entries.push_back({EntryKind::Chunk, index, c, chunk.change, {}});
     }
-    if (!round_.empty() && left() >= 1) {
-        condition(kRoundKey, round_version_);
-        change(kRoundKey, std::move(round_));
-        round_.clear();
-        b.entries.push_back({EntryKind::Round, kNone, 0, 0, kRoundKey});
+    for (auto& [key, note] : notes_) {
+        if (note.record.empty() || left() < 1 || bytes + note.record.size() > kMaxTxnBytes) continue;
+        condition(key, note.version);
+        change(key, std::move(note.record));
+        note.record.clear();
+        b.entries.push_back({EntryKind::Note, kNone, 0, 0, key});
     }
     while (!sweeps_.empty() && left() >= 1 && bytes < kMaxTxnBytes) {
         condition(sweeps_.front().key, sweeps_.front().version);
@@ -180,7 +182,7 @@
                 job->chunks[e.chunk].version = revision;
                 job->chunks[e.chunk].committed = e.change;
                 break;
-            case EntryKind::Round: round_version_ = revision; break;
+            case EntryKind::Note: notes_[e.key].version = revision; break;
             case EntryKind::Sweep: break;
         }
     }
@@ -205,10 +207,11 @@
                 for (auto& c : batch.txn.conditions)
                     if (c.key == e.key) sweeps_.push_front(c);
                 break;
-            case EntryKind::Round:
-                if (round_.empty())
+            case EntryKind::Note:
+                // A newer value may have come meanwhile.
+                if (auto& record = notes_[e.key].record; record.empty())
                     for (auto& c : batch.txn.changes)
-                        if (c.key == kRoundKey) round_ = c.value;
+                        if (c.key == e.key) record = c.value;
                 break;
         }
     }
@@ -219,8 +222,7 @@
     cancels_.clear();
     finishes_.clear();
     sweeps_.clear();
-    round_.clear();
-    round_version_ = 0;
+    notes_.clear();
 }
 
 void Ledger::load_job(const StateItem& item, double now) {
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -2,6 +2,7 @@
 // and what has been. Keys: `j/<id>` a job, `t/<id>/<chunk>` its tasks, `f/<id>` a final state.
 #pragma once
 #include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -13,7 +14,9 @@
 namespace weirmill {
 
 inline const std::string kLeaderKey = "leader";
-inline const std::string kRoundKey = "round";
+// Single records that only the newest value of matters.
+inline const std::string kRoundKey = "round";  // the last round of preemption
+inline const std::string kTypesKey = "types";  // the machine types last offered
 
 std::string job_key(const std::string& id);
 std::string chunk_key(const std::string& id, uint32_t chunk);
@@ -28,13 +31,13 @@
 };
 FinalState parse_final(const boost::json::value& v);
 
-enum class EntryKind : uint8_t { NewJob, Cancel, Finish, Chunk, Sweep, Round };
+enum class EntryKind : uint8_t { NewJob, Cancel, Finish, Chunk, Sweep, Note };
 struct LedgerEntry {
     EntryKind kind = EntryKind::Chunk;
     Index job = kNone;
     uint32_t chunk = 0;
     uint32_t change = 0;
-    std::string key;  // Sweep, Round
+    std::string key;  // Sweep, Note
 };
 struct LedgerBatch {
     StateTxn txn;
@@ -51,8 +54,8 @@
     void cancel(Index job) { cancels_.push_back(job); }
     void finish(Index job) { finishes_.push_back(job); }
     void sweep(std::string key, uint64_t version) { sweeps_.push_back({std::move(key), version}); }
-    void round(std::string record) { round_ = std::move(record); }
-    void set_round_version(uint64_t v) { round_version_ = v; }
+    void note(const std::string& key, std::string record) { notes_[key].record = std::move(record); }
+    void load_note(const std::string& key, uint64_t version) { notes_[key].version = version; }
     bool urgent() const { return !new_jobs_.empty() || !cancels_.empty(); }
     bool waiting() const;
     size_t submissions() const { return new_jobs_.size(); }
@@ -75,8 +78,11 @@
     int txn_ops_;
     std::deque<Index> new_jobs_, cancels_, finishes_;
     std::deque<StateCondition> sweeps_;
-    std::string round_;
-    uint64_t round_version_ = 0;
+    struct Note {
+        std::string record;  // empty: nothing to write
+        uint64_t version = 0;
+    };
+    std::map<std::string, Note> notes_;
 };
 
 }  // namespace weirmill
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -108,7 +108,7 @@
 asio::awaitable<bool> Leader::load() {
     tables_.clear_work();
     ledger_.clear();
-    for (const char* prefix : {"j/", "t/", "round"}) {
+    for (const std::string& prefix : {std::string("j/"), std::string("t/"), kRoundKey, kTypesKey}) {
         std::string after;
         for (bool more = true; more;) {
             auto page = co_await state_.list(prefix, after, 200, 3);
@@ -122,11 +122,15 @@
                 after = item.key;
                 try {
                     if (item.key == kRoundKey) {
-                        ledger_.set_round_version(item.version);
+                        ledger_.load_note(item.key, item.version);
                         rounds_ = read::count(read::object(item.value), "number", 0);
-                    } else if (prefix[0] == 'j') {
+                    } else if (item.key == kTypesKey) {
+                        ledger_.load_note(item.key, item.version);
+                        recorded_types_ = boost::json::serialize(item.value);
+                        if (!tables_.types_known) tables_.set_types(parse_machine_types(recorded_types_));
+                    } else if (prefix == "j/") {
                         ledger_.load_job(item, steady_now());
-                    } else if (prefix[0] == 't') {
+                    } else if (prefix == "t/") {
                         ledger_.load_chunk(item, steady_now());
                     }
                 } catch (const BadMessage& e) {
@@ -856,7 +860,18 @@
     std::erase_if(tables_.refusals, [&](auto& r) { return r.first <= now_; });
 }
 
-void Leader::handle(TypesRead& m) { tables_.set_types(std::move(m.types)); }
+// Recorded, so that the next leader can decide about submissions while the cloud does not answer.
+void Leader::handle(TypesRead& m) {
+    auto without_prices = m.types;
+    for (auto& t : without_prices) t.price = t.spot_price = 0;
+    auto shape = machine_types_json(without_prices);
+    auto record = machine_types_json(m.types);
+    if (shape != recorded_shape_ && record != recorded_types_ && record.size() < settings_.value_kb * 1024) {
+        recorded_shape_ = shape;
+        ledger_.note(kTypesKey, record);
+    }
+    tables_.set_types(std::move(m.types));
+}
 
 void Leader::handle(ListRead& list) {
     listed_once_ = true;
@@ -1054,7 +1069,7 @@
     auto round = plan_preemption(tables_, [this](const Machine& m) { return usable(m); }, now_);
     if (round.clearings.empty()) return;
     ++rounds_;
-    ledger_.round(round_record(round, tables_, rounds_));
+    ledger_.note(kRoundKey, round_record(round, tables_, rounds_));
     for (auto& c : round.clearings) {
         for (auto i : c.machines) {
             tables_.machines[i]->reserved_for = c.job;
--- a/src/protocol/cloud_codec.cpp
+++ b/src/protocol/cloud_codec.cpp
@@ -39,6 +39,25 @@
     return out;
 }
 
+std::string machine_types_json(const std::vector<MachineType>& types) {
+    json::array list;
+    for (auto& t : types) {
+        json::array zones;
+        for (auto& z : t.zones) zones.emplace_back(z);
+        list.push_back(json::object{{"label", t.name},
+                                    {"cores", static_cast<double>(t.size.cpu) / 1000},
+                                    {"accelerators", static_cast<double>(t.size.gpu) / 1000},
+                                    {"mem_gb", static_cast<double>(t.size.mem) / 1000},
+                                    {"local_gb", t.cache_gb},
+                                    {"fetch_gb_per_s", t.fetch_gb_per_s},
+                                    {"hourly", t.price},
+                                    {"spot_price", t.spot_price},
+                                    {"startup_s", t.boot_s},
+                                    {"yards", std::move(zones)}});
+    }
+    return json::serialize(json::object{{"rigs", std::move(list)}});
+}
+
 MachinePage parse_machine_page(std::string_view body) {
     auto v = read::parse(body);
     auto& root = read::object(v);
--- a/src/protocol/cloud_codec.h
+++ b/src/protocol/cloud_codec.h
@@ -10,6 +10,7 @@
 namespace weirmill {
 
 std::vector<MachineType> parse_machine_types(std::string_view body);  // all throw BadMessage
+std::string machine_types_json(const std::vector<MachineType>& types);  // as parse_machine_types reads it
 MachinePage parse_machine_page(std::string_view body);
 std::vector<std::string> parse_rented(std::string_view body);
 std::string rental_json(const std::string& request, const std::string& type, const std::string& zone, bool spot, int count);
