--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -14,6 +14,13 @@
         teams.push_back(std::move(team));
     }
     for (auto& z : settings.zones) names.zones.intern(z);
+    for (auto& o : settings.objectives) {
+        if (o.job_class.empty() || o.within_s <= 0) continue;
+        auto index = names.classes.intern(o.job_class);
+        if (classes.size() <= index) classes.resize(index + 1);
+        auto& within = o.kind == "wait" ? classes[index].start_within_s : classes[index].done_within_s;
+        if (o.kind == "wait" || o.kind == "finished") within = within > 0 ? std::min(within, o.within_s) : o.within_s;
+    }
     // A placed task takes at most some 60 bytes of its chunk's value.
     chunk_tasks = std::max(8u, static_cast<uint32_t>(settings.value_kb * 1024 / 64) - 4);
     max_tasks = static_cast<size_t>(settings.mem_mb * 1e6 * 0.3 / sizeof(Task));
@@ -185,6 +192,27 @@
     touch(index, t);
 }
 
+double Tables::expected_run_s(const JobSpec& spec) const {
+    return spec.estimate_s * (spec.job_class < classes.size() ? classes[spec.job_class].bias : 1);
+}
+
+// The geometric mean over recent tasks, starting from the owners' word.
+void Tables::learn_run(const JobSpec& spec, double run_s) {
+    if (spec.estimate_s <= 0 || run_s <= 0) return;
+    if (classes.size() <= spec.job_class) classes.resize(spec.job_class + 1);
+    auto& c = classes[spec.job_class];
+    double ratio = std::clamp(run_s / spec.estimate_s, 0.2, 5.0);
+    // Tasks of one job share its error: a task of a large job says less.
+    double weight = 1.0 / std::min<double>(spec.tasks, 8);
+    c.learnt = std::min(c.learnt + weight, 20.0);
+    c.bias *= std::pow(ratio / c.bias, weight / (c.learnt + 3));
+}
+
+double Tables::fetch_s(const JobSpec& spec, Index type) const {
+    double rate = types[type].type.fetch_gb_per_s;
+    return rate > 0 ? spec.image_gb / rate : 0;
+}
+
 bool Tables::type_fits(const JobSpec& spec, Index type) const {
     if (type >= types.size() || !types[type].offered) return false;
     if (!spec.types.empty() && std::find(spec.types.begin(), spec.types.end(), type) == spec.types.end()) return false;
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -108,6 +108,12 @@
     MachineType type;
 };
 
+// What is asked for a class of jobs, and what its finished tasks taught about its owners' estimates.
+struct JobClass {
+    double start_within_s = 0, done_within_s = 0;  // 0: nothing is asked
+    double bias = 1, learnt = 0;                   // run time over estimate; weight of the evidence
+};
+
 struct Refusal {
     Index type, zone;
     bool spot;
@@ -125,6 +131,7 @@
     std::vector<std::unique_ptr<Job>> jobs;          // by job index; null: free
     std::vector<std::unique_ptr<Machine>> machines;  // by machine index; null: free
     std::unordered_map<std::string, Index> job_index, machine_index;
+    std::vector<JobClass> classes;  // by class index
     std::vector<std::pair<double, Refusal>> refusals;  // until when not to ask again
     uint32_t chunk_tasks;                              // tasks in a chunk
     size_t task_count = 0, max_tasks;                  // over all jobs; what memory allows
@@ -152,6 +159,11 @@
     // Chunks changed and not yet queued for recording are handed out through this.
     std::deque<std::pair<Index, uint32_t>> changed_chunks;
 
+    // Run time to expect of a task, without its image fetch.
+    double expected_run_s(const JobSpec& spec) const;
+    void learn_run(const JobSpec& spec, double run_s);
+    double fetch_s(const JobSpec& spec, Index type) const;
+
     bool type_fits(const JobSpec& spec, Index type) const;
     // Allowed by type, zone and kind, room aside.
     bool machine_allowed(const JobSpec& spec, const Machine& m) const;
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -599,6 +599,7 @@
     if (r.cause == ExitCause::Done && job.spec.kind != JobKind::Service) {
         m.faulty_jobs.clear();
         m.faults = 0;
+        if (job.tasks[t].running_at > 0) tables_.learn_run(job.spec, now_ - job.tasks[t].running_at);
         if (gang) {  // if one task is done, every one is
             for (uint32_t i = 0; i < job.tasks.size(); ++i) tables_.finish(j, i, now_);
         } else {
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -8,15 +8,41 @@
 namespace {
 
 constexpr int kMaxRental = 50;  // machines in one request to the cloud
-
 constexpr double kNewcomer_s = 15;
+constexpr double kPatience = 0.6;     // share of a job's slack that it may wait for room
+constexpr double kStopping_s = 3;     // a task told to stop is gone soon
+constexpr double kOverdue = 0.15;     // of its expected run: what is left of a task that should be over
+constexpr size_t kMostTasks = 400;    // of one job, looked at one by one
 
-// Room on machines that exist or are about to: filled in priority order before anything is rented.
+// A machine that is up, coming up or to be rented, as far as it is known when it will have room.
 struct Coming {
-    const Machine* machine;  // null: to be rented in this plan
     Index type, zone;
     bool spot;
+    double from;     // seconds from now at which `room` is there
     Resources room;
+    std::vector<std::pair<double, Resources>> ends;  // what running tasks will free, soonest first
+
+    // When a task will find room here; `taken`: the ends it waits for.
+    double start(const Resources& need, size_t& taken) const {
+        auto sum = room;
+        double at = from;
+        taken = 0;
+        while (!need.fits_in(sum)) {
+            if (taken == ends.size()) return 1e18;
+            sum += ends[taken].second;
+            at = std::max(at, ends[taken].first);
+            ++taken;
+        }
+        return at;
+    }
+    void take(const Resources& need, double at, size_t taken, double lasts) {
+        for (size_t i = 0; i < taken; ++i) room += ends[i].second;
+        ends.erase(ends.begin(), ends.begin() + static_cast<long>(taken));
+        room -= need;
+        from = std::max(from, taken ? at : from);
+        std::pair<double, Resources> end{at + lasts, need};
+        ends.insert(std::upper_bound(ends.begin(), ends.end(), end, [](auto& x, auto& y) { return x.first < y.first; }), end);
+    }
 };
 
 bool serves(const Tables& tables, const JobSpec& spec, const Coming& c) {
@@ -25,16 +51,50 @@
     return tables.type_fits(spec, c.type);
 }
 
-}  // namespace
-
-std::vector<Rental> plan_rentals(const Tables& tables, const Usable& usable, double now) {
-    std::vector<Coming> coming;
+std::vector<Coming> known_machines(const Tables& tables, const Usable& usable, double now) {
+    std::vector<Coming> out;
     for (auto& m : tables.machines) {
         if (!m || m->type == kNone || m->doomed || m->returning) continue;
+        if (m->type >= tables.types.size() || !tables.types[m->type].offered) continue;
+        double boot = tables.types[m->type].type.boot_s;
         // One that a change of leader has just revealed is likely to report soon.
         bool booting = !m->up && (m->status == MachineStatus::Booting || now - m->added < kNewcomer_s);
-        if (booting || usable(*m)) coming.push_back({m.get(), m->type, m->zone, m->spot, booting ? m->size : m->room()});
+        if (!booting && !usable(*m)) continue;
+        Coming c{m->type, m->zone, m->spot, booting ? std::max(2.0, m->rented + 1.1 * boot - now) : 0, m->room(), {}};
+        for (auto& ref : m->tasks) {
+            auto& job = *tables.jobs[ref.job];
+            if (job.spec.kind == JobKind::Service) continue;
+            auto& task = job.tasks[ref.task];
+            double run = tables.expected_run_s(job.spec), left;
+            if (task.stopping) left = kStopping_s;
+            else if (task.running_at > 0) left = std::max(kOverdue * run, run - (now - task.running_at));
+            else left = run + std::max(0.0, tables.fetch_s(job.spec, m->type) - (now - task.placed_at));
+            c.ends.emplace_back(left, job.spec.need);
+        }
+        std::sort(c.ends.begin(), c.ends.end(), [](auto& x, auto& y) { return x.first < y.first; });
+        out.push_back(std::move(c));
+    }
+    return out;
+}
+
+// How long the job may wait for room and still end as asked, with some to spare.
+double patience(const Tables& tables, const Job& job, double now) {
+    auto& spec = job.spec;
+    double age = now - job.seen_at, run = tables.expected_run_s(spec);
+    double slack = 1e18;
+    if (spec.deadline_s >= 0) slack = std::min(slack, spec.deadline_s - age - run);
+    if (spec.job_class < tables.classes.size()) {
+        auto& c = tables.classes[spec.job_class];
+        if (c.start_within_s > 0) slack = std::min(slack, c.start_within_s - age);
+        if (c.done_within_s > 0) slack = std::min(slack, c.done_within_s - age - run);
     }
+    return slack > 1e17 ? run : kPatience * std::max(0.0, slack);
+}
+
+}  // namespace
+
+std::vector<Rental> plan_rentals(const Tables& tables, const Usable& usable, double now) {
+    auto coming = known_machines(tables, usable, now);
     std::map<std::tuple<Index, Index, bool>, int> wanted;
     std::vector<Resources> team_extra(tables.teams.size());
     for (auto j : waiting_jobs(tables, now)) {
@@ -42,12 +102,14 @@
         auto& spec = job.spec;
         auto& team = tables.teams[spec.team];
         auto& extra = team_extra[spec.team];
-        bool bound = spec.one_zone && (spec.kind == JobKind::Gang || job.placed > 0);
+        bool gang = spec.kind == JobKind::Gang;
+        bool bound = spec.one_zone && (gang || job.placed > 0);
         ZoneRule rule(tables, job);
-        int64_t left = 0;
-        while (left < job.pending && tables.within_limit(team, extra + spec.need * (left + 1))) ++left;
-        if (spec.kind == JobKind::Gang && left < job.pending) continue;
-        extra += spec.need * left;
+        size_t left = 0;
+        while (left < job.pending && left < kMostTasks && tables.within_limit(team, extra + spec.need * static_cast<int64_t>(left + 1))) ++left;
+        if (gang && left < job.pending) continue;
+        extra += spec.need * static_cast<int64_t>(left);
+        double run = tables.expected_run_s(spec), willing = patience(tables, job, now);
 
         // The zones to try: any, or one at a time for a job bound to one.
         std::vector<Index> zones{kNone};
@@ -67,27 +129,25 @@
             auto trial = coming;
             auto trial_rule = rule;
             std::map<std::tuple<Index, Index, bool>, int> trial_wanted;
-            int64_t rest = left;
-            auto fill = [&](Coming& c) {
-                if (!serves(tables, spec, c) || (only != kNone && c.zone != only)) return;
-                while (rest > 0 && spec.need.fits_in(c.room) && trial_rule.allows(c.zone)) {
-                    c.room -= spec.need;
-                    trial_rule.add(c.zone);
-                    --rest;
-                }
-            };
-            for (auto& c : trial) {
-                if (rest == 0) break;
-                fill(c);
-            }
+            size_t rest = left;
             while (rest > 0) {
+                // The machine with room the soonest.
+                size_t best = trial.size(), best_taken = 0;
+                double best_at = 1e18;
+                for (size_t i = 0; i < trial.size(); ++i) {
+                    auto& c = trial[i];
+                    if (!serves(tables, spec, c) || (only != kNone && c.zone != only) || !trial_rule.allows(c.zone)) continue;
+                    size_t taken;
+                    double at = c.start(spec.need, taken);
+                    if (at < best_at) best = i, best_at = at, best_taken = taken;
+                }
                 // The offer that is cheapest for a task of what is left; spot first where it may be used.
                 double best_cost = 0;
-                Coming best{nullptr, kNone, kNone, false, {}};
+                Coming offer{kNone, kNone, false, 0, {}, {}};
                 for (Index t = 0; t < tables.types.size(); ++t) {
                     if (!tables.type_fits(spec, t)) continue;
                     auto& type = tables.types[t].type;
-                    auto fits = std::min<int64_t>(spec.need.times_in(type.size), rest);
+                    auto fits = std::min<int64_t>(spec.need.times_in(type.size), static_cast<int64_t>(rest));
                     for (auto& zone_name : type.zones) {
                         auto z = tables.names.zones.find(zone_name);
                         if (z == kNone || (only != kNone && z != only) || (spec.zone != kNone && z != spec.zone)) continue;
@@ -95,21 +155,32 @@
                         for (bool spot : {true, false}) {
                             if ((spot && !spec.spot) || tables.refused(t, z, spot, now)) continue;
                             double cost = (spot ? type.spot_price : type.price) / static_cast<double>(fits);
-                            if (best.type == kNone || cost < best_cost - 1e-12) {
+                            if (offer.type == kNone || cost < best_cost - 1e-12) {
                                 best_cost = cost;
-                                best = {nullptr, t, z, spot, type.size};
+                                offer = {t, z, spot, type.boot_s, type.size, {}};
                             }
                         }
                     }
                 }
-                if (best.type == kNone) break;
-                auto& count = trial_wanted[{best.type, best.zone, best.spot}];
-                if (count >= kMaxRental) break;
-                ++count;
-                trial.push_back(best);
-                fill(trial.back());
+                // Waiting for room that will be there no later than a new machine costs nothing; longer waits
+                // are taken as far as the job can afford them.
+                bool wait = best < trial.size() && (offer.type == kNone || best_at <= std::max(offer.from, willing));
+                if (!wait) {
+                    if (offer.type == kNone) break;
+                    auto& count = trial_wanted[{offer.type, offer.zone, offer.spot}];
+                    if (count >= kMaxRental) break;
+                    ++count;
+                    best = trial.size();
+                    best_at = offer.from;
+                    best_taken = 0;
+                    trial.push_back(std::move(offer));
+                }
+                auto& c = trial[best];
+                c.take(spec.need, best_at, best_taken, run + tables.fetch_s(spec, c.type));
+                trial_rule.add(c.zone);
+                --rest;
             }
-            if (rest > 0 && (bound || spec.kind == JobKind::Gang)) continue;  // all or nothing: the next zone
+            if (rest > 0 && (bound || gang)) continue;  // all or nothing: the next zone
             coming = std::move(trial);
             for (auto& [key, n] : trial_wanted) wanted[key] += n;
             break;
--- a/src/protocol/types.h
+++ b/src/protocol/types.h
@@ -1,6 +1,8 @@
 // The field's terms, as the rest of the program uses them. Wire spellings stay in the codecs.
 #pragma once
 #include <cmath>
+#include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <limits>
 #include <string>
