--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -35,6 +35,11 @@
     job->seen_at = now;
     job->spec = std::move(spec);
     task_count += job->tasks.size();
+    if (auto& need = job->spec.need; need.gpu >= 1000) {
+        Resources share{need.cpu * 1000 / need.gpu, 1000, need.mem * 1000 / need.gpu};
+        if (per_gpu.gpu == 0) per_gpu = share;
+        per_gpu = {(per_gpu.cpu * 4 + share.cpu) / 5, 1000, (per_gpu.mem * 4 + share.mem) / 5};
+    }
     auto free = std::find(jobs.begin(), jobs.end(), nullptr);
     if (free == jobs.end()) free = jobs.insert(jobs.end(), nullptr);
     auto index = static_cast<Index>(free - jobs.begin());
@@ -213,6 +218,20 @@
     return rate > 0 ? spec.image_gb / rate : 0;
 }
 
+bool Tables::spares_gpus(const JobSpec& spec, Index type) const {
+    if (spec.need.gpu > 0 || per_gpu.gpu == 0 || types[type].type.size.gpu == 0) return false;
+    for (Index t = 0; t < types.size(); ++t)
+        if (type_fits(spec, t) && types[t].type.size.gpu == 0) return true;
+    return false;
+}
+
+bool Tables::leaves_gpus_usable(const JobSpec& spec, const Machine& m) const {
+    if (!spares_gpus(spec, m.type)) return true;
+    auto left = m.room() - spec.need;
+    int64_t gpus = left.gpu / 1000;
+    return left.cpu >= gpus * per_gpu.cpu && left.mem >= gpus * per_gpu.mem;
+}
+
 bool Tables::type_fits(const JobSpec& spec, Index type) const {
     if (type >= types.size() || !types[type].offered) return false;
     if (!spec.types.empty() && std::find(spec.types.begin(), spec.types.end(), type) == spec.types.end()) return false;
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -164,6 +164,12 @@
     void learn_run(const JobSpec& spec, double run_s);
     double fetch_s(const JobSpec& spec, Index type) const;
 
+    // What jobs with GPUs take of the other resources, for each GPU. A task without GPUs that could run
+    // elsewhere leaves that much for the free GPUs of a machine.
+    Resources per_gpu;
+    bool spares_gpus(const JobSpec& spec, Index type) const;
+    bool leaves_gpus_usable(const JobSpec& spec, const Machine& m) const;
+
     bool type_fits(const JobSpec& spec, Index type) const;
     // Allowed by type, zone and kind, room aside.
     bool machine_allowed(const JobSpec& spec, const Machine& m) const;
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -1068,6 +1068,11 @@
 void Leader::preempt() {
     if (!sure(now_)) return;
     auto round = plan_preemption(tables_, [this](const Machine& m) { return usable(m); }, now_);
+    for (auto j : waiting_jobs(tables_, now_)) {
+        auto& job = *tables_.jobs[j];
+        spdlog::debug("waiting: {} class={} pending={} age={:.0f} within_limit={} team_cpu={}", job.spec.id, tables_.names.classes.name(job.spec.job_class),
+                      job.pending, now_ - job.seen_at, tables_.within_limit(tables_.teams[job.spec.team], job.spec.need), tables_.teams[job.spec.team].used.cpu / 1000);
+    }
     if (round.clearings.empty()) return;
     ++rounds_;
     ledger_.note(kRoundKey, round_record(round, tables_, rounds_));
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -85,7 +85,7 @@
         Index best = kNone;
         for (auto i : candidates) {
             auto& m = *tables.machines[i];
-            if (!job.spec.need.fits_in(m.room()) || !zones.allows(m.zone)) continue;
+            if (!job.spec.need.fits_in(m.room()) || !zones.allows(m.zone) || !tables.leaves_gpus_usable(job.spec, m)) continue;
             if (best == kNone || fit(tables, job, m) < fit(tables, job, *tables.machines[best])) best = i;
         }
         return best;
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -104,6 +104,7 @@
             for (Index i = 0; i < tables.machines.size(); ++i) {
                 auto* m = tables.machines[i].get();
                 if (!m || taken[i] || !usable(*m) || !tables.machine_allowed(job.spec, *m)) continue;
+                if (tables.spares_gpus(job.spec, m->type)) continue;
                 if (zone != kNone && m->zone != zone) continue;
                 if (!rule.allows(m->zone)) continue;
                 auto free = job.spec.need.times_in(m->room());
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -9,7 +9,7 @@
 
 constexpr int kMaxRental = 50;  // machines in one request to the cloud
 constexpr double kNewcomer_s = 15;
-constexpr double kPatience = 0.6;     // share of a job's slack that it may wait for room
+constexpr double kPatience = 0.4;     // share of a job's slack that it may wait for room
 constexpr double kStopping_s = 3;     // a task told to stop is gone soon
 constexpr double kOverdue = 0.15;     // of its expected run: what is left of a task that should be over
 constexpr size_t kMostTasks = 400;    // of one job, looked at one by one
@@ -48,7 +48,7 @@
 bool serves(const Tables& tables, const JobSpec& spec, const Coming& c) {
     if (c.spot && !spec.spot) return false;
     if (spec.zone != kNone && spec.zone != c.zone) return false;
-    return tables.type_fits(spec, c.type);
+    return tables.type_fits(spec, c.type) && !tables.spares_gpus(spec, c.type);
 }
 
 std::vector<Coming> known_machines(const Tables& tables, const Usable& usable, double now) {
@@ -78,9 +78,9 @@
 }
 
 // How long the job may wait for room and still end as asked, with some to spare.
-double patience(const Tables& tables, const Job& job, double now) {
+double patience(const Tables& tables, const Job& job, double fetch, double now) {
     auto& spec = job.spec;
-    double age = now - job.seen_at, run = tables.expected_run_s(spec);
+    double age = now - job.seen_at + fetch, run = tables.expected_run_s(spec);
     double slack = 1e18;
     if (spec.deadline_s >= 0) slack = std::min(slack, spec.deadline_s - age - run);
     if (spec.job_class < tables.classes.size()) {
@@ -109,7 +109,10 @@
         while (left < job.pending && left < kMostTasks && tables.within_limit(team, extra + spec.need * static_cast<int64_t>(left + 1))) ++left;
         if (gang && left < job.pending) continue;
         extra += spec.need * static_cast<int64_t>(left);
-        double run = tables.expected_run_s(spec), willing = patience(tables, job, now);
+        double run = tables.expected_run_s(spec), fetch = 0;
+        for (Index t = 0; t < tables.types.size(); ++t)
+            if (tables.type_fits(spec, t)) fetch = std::max(fetch, tables.fetch_s(spec, t));
+        double willing = patience(tables, job, fetch, now);
 
         // The zones to try: any, or one at a time for a job bound to one.
         std::vector<Index> zones{kNone};
@@ -145,7 +148,7 @@
                 double best_cost = 0;
                 Coming offer{kNone, kNone, false, 0, {}, {}};
                 for (Index t = 0; t < tables.types.size(); ++t) {
-                    if (!tables.type_fits(spec, t)) continue;
+                    if (!tables.type_fits(spec, t) || tables.spares_gpus(spec, t)) continue;
                     auto& type = tables.types[t].type;
                     auto fits = std::min<int64_t>(spec.need.times_in(type.size), static_cast<int64_t>(rest));
                     for (auto& zone_name : type.zones) {
@@ -210,7 +213,8 @@
         if (m->type >= tables.types.size() || !tables.types[m->type].offered) continue;
         bool useful = std::any_of(waiting.begin(), waiting.end(), [&](Index j) {
             auto& job = *tables.jobs[j];
-            return tables.machine_allowed(job.spec, *m) && tables.within_limit(tables.teams[job.spec.team], job.spec.need);
+            return tables.machine_allowed(job.spec, *m) && !tables.spares_gpus(job.spec, m->type) &&
+                   tables.within_limit(tables.teams[job.spec.team], job.spec.need);
         });
         if (useful) continue;
         double keep = settings.idle_keep_boots * tables.types[m->type].type.boot_s;
