--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -232,6 +232,17 @@
     return left.cpu >= gpus * per_gpu.cpu && left.mem >= gpus * per_gpu.mem;
 }
 
+bool Tables::large(const JobSpec& spec) const {
+    if (spec.kind == JobKind::Gang) return true;
+    bool any = false;
+    for (Index t = 0; t < types.size(); ++t) {
+        if (!type_fits(spec, t)) continue;
+        any = true;
+        if (spec.need.times_in(types[t].type.size) > 1) return false;
+    }
+    return any;
+}
+
 bool Tables::type_fits(const JobSpec& spec, Index type) const {
     if (type >= types.size() || !types[type].offered) return false;
     if (!spec.types.empty() && std::find(spec.types.begin(), spec.types.end(), type) == spec.types.end()) return false;
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -170,6 +170,8 @@
     bool spares_gpus(const JobSpec& spec, Index type) const;
     bool leaves_gpus_usable(const JobSpec& spec, const Machine& m) const;
 
+    // A gang, or a task that takes over half of every machine type it fits: it needs machines to itself.
+    bool large(const JobSpec& spec) const;
     bool type_fits(const JobSpec& spec, Index type) const;
     // Allowed by type, zone and kind, room aside.
     bool machine_allowed(const JobSpec& spec, const Machine& m) const;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -93,9 +93,10 @@
 };
 
 // All tasks of the gang or none. With one zone, the zones are tried in turn.
-bool place_gang(Tables& tables, const Usable& usable, Index index, double now, std::vector<Placement>& out) {
+bool place_gang(Tables& tables, const Usable& usable, Index index, const Resources& held, double now,
+                std::vector<Placement>& out) {
     auto& job = *tables.jobs[index];
-    if (!tables.within_limit(tables.teams[job.spec.team], job.spec.need * job.pending)) return false;
+    if (!tables.within_limit(tables.teams[job.spec.team], held + job.spec.need * job.pending)) return false;
     Room room(tables, usable, index, now);
     std::vector<Index> zones{kNone};
     if (job.spec.one_zone) {
@@ -130,7 +131,8 @@
     return false;
 }
 
-void place_tasks(Tables& tables, const Usable& usable, Index index, double now, size_t most, std::vector<Placement>& out) {
+void place_tasks(Tables& tables, const Usable& usable, Index index, const Resources& held, double now, size_t most,
+                 std::vector<Placement>& out) {
     auto& job = *tables.jobs[index];
     auto& team = tables.teams[job.spec.team];
     Room room(tables, usable, index, now);
@@ -140,7 +142,7 @@
         auto& task = job.tasks[t];
         if (task.state != TaskState::Pending) continue;
         job.first_pending = t;
-        if (!tables.within_limit(team, job.spec.need)) break;
+        if (!tables.within_limit(team, held + job.spec.need)) break;
         auto m = room.best(job, rule);
         if (m == kNone) break;
         tables.place(index, t, m, task.attempt + 1, now);
@@ -153,12 +155,22 @@
 
 std::vector<Placement> place_waiting(Tables& tables, const Usable& usable, double now, size_t most) {
     std::vector<Placement> out;
+    // Of each team's limit, what its large jobs are waiting for: small tasks that come after them would
+    // otherwise fill the limit again each time that one ends, and a large job would never get its share.
+    std::vector<std::pair<Priority, Resources>> held(tables.teams.size(), {Priority::Production, {}});
     for (auto j : waiting_jobs(tables, now)) {
         if (out.size() >= most) break;
-        if (tables.jobs[j]->spec.kind == JobKind::Gang)
-            place_gang(tables, usable, j, now, out);
+        auto& job = *tables.jobs[j];
+        auto& [above, share] = held[job.spec.team];
+        auto kept = job.spec.priority < above ? share : Resources{};
+        if (job.spec.kind == JobKind::Gang)
+            place_gang(tables, usable, j, kept, now, out);
         else
-            place_tasks(tables, usable, j, now, most, out);
+            place_tasks(tables, usable, j, kept, now, most, out);
+        if (job.pending > 0 && tables.large(job.spec)) {
+            above = job.spec.priority;
+            share += job.spec.need * (job.spec.kind == JobKind::Gang ? job.pending : 1);
+        }
     }
     for (auto& p : out) {
         auto& m = *tables.machines[p.machine];
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -46,18 +46,6 @@
 
 namespace {
 
-// A task that takes over half of each machine it fits needs machines to itself.
-bool large(const Tables& tables, const Job& job) {
-    if (job.spec.kind == JobKind::Gang) return true;
-    bool any = false;
-    for (Index t = 0; t < tables.types.size(); ++t) {
-        if (!tables.type_fits(job.spec, t)) continue;
-        any = true;
-        if (job.spec.need.times_in(tables.types[t].type.size) > 1) return false;
-    }
-    return any;
-}
-
 struct Clearable {
     ClearCandidate candidate;
     int64_t fits = 0;  // tasks of the waiting job on the emptied machine
@@ -75,7 +63,7 @@
     std::map<std::pair<Index, uint32_t>, bool> stopped;
     for (auto j : waiting_jobs(tables, now)) {
         auto& job = *tables.jobs[j];
-        if (!large(tables, job)) continue;
+        if (!tables.large(job.spec)) continue;
         auto& team = tables.teams[job.spec.team];
         bool gang = job.spec.kind == JobKind::Gang;
         int64_t wanted = gang ? job.pending : 0;
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 
 namespace weirmill {
 
@@ -128,7 +129,17 @@
             };
             std::stable_sort(zones.begin(), zones.end(), [&](Index a, Index b) { return room_in(a) > room_in(b); });
         }
+        struct Plan {
+            bool late = true;  // room comes later than the job would like, and nothing can be rented
+            double latest = 1e18;
+            int rented = 0;
+            std::vector<Coming> machines;
+            std::map<std::tuple<Index, Index, bool>, int> wanted;
+        } chosen;
         for (auto only : zones) {
+            Plan plan;
+            plan.late = false;
+            plan.latest = 0;
             auto trial = coming;
             auto trial_rule = rule;
             std::map<std::tuple<Index, Index, bool>, int> trial_wanted;
@@ -167,27 +178,38 @@
                 }
                 // Waiting for room that will be there no later than a new machine costs nothing; longer waits
                 // are taken as far as the job can afford them.
-                bool wait = best < trial.size() && (offer.type == kNone || best_at <= std::max(offer.from, willing));
+                bool soon = best_at <= std::max(offer.from, willing);
+                bool wait = best < trial.size() && (offer.type == kNone || soon);
                 if (!wait) {
                     if (offer.type == kNone) break;
                     auto& count = trial_wanted[{offer.type, offer.zone, offer.spot}];
                     if (count >= kMaxRental) break;
                     ++count;
+                    ++plan.rented;
                     best = trial.size();
                     best_at = offer.from;
                     best_taken = 0;
                     trial.push_back(std::move(offer));
                 }
+                plan.late = plan.late || (wait && !soon);
+                plan.latest = std::max(plan.latest, best_at);
                 auto& c = trial[best];
                 c.take(spec.need, best_at, best_taken, run + tables.fetch_s(spec, c.type));
                 trial_rule.add(c.zone);
                 --rest;
             }
             if (rest > 0 && (bound || gang)) continue;  // all or nothing: the next zone
-            coming = std::move(trial);
-            for (auto& [key, n] : trial_wanted) wanted[key] += n;
-            break;
+            // Of several zones, one where the job is served in time, with the fewest machines rented.
+            auto rank = [](const Plan& p) { return std::make_tuple(p.late, p.late ? p.latest : 0, p.rented, p.latest); };
+            if (rank(plan) < rank(chosen)) {
+                chosen = std::move(plan);
+                chosen.machines = std::move(trial);
+                chosen.wanted = std::move(trial_wanted);
+            }
         }
+        if (chosen.latest > 1e17) continue;
+        coming = std::move(chosen.machines);
+        for (auto& [key, n] : chosen.wanted) wanted[key] += n;
     }
     std::vector<Rental> out;
     for (auto& [key, n] : wanted) out.push_back({std::get<0>(key), std::get<1>(key), std::get<2>(key), std::min(n, kMaxRental)});
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -198,6 +198,30 @@
     EXPECT_EQ(w.tables.teams[0].used, (Resources{32000, 0, 4000}));
 }
 
+TEST(Quota, ALargeJobsShareIsNotFilledByLaterTasksOfItsTeam) {
+    // Small tasks used to fill the limit whenever one ended: a large job of the same team never fitted.
+    World w;
+    for (int i = 0; i < 6; ++i) w.machine("m" + std::to_string(i));
+    auto small = w.job(w.spec("req-1", JobKind::Array, 40, 1, 0, Priority::Low, "red"));
+    EXPECT_EQ(place_waiting(w.tables, any_machine, w.now).size(), 32u);
+    auto large = w.job(w.spec("req-2", JobKind::Array, 1, 7, 0, Priority::High, "red"));
+    for (uint32_t t = 0; t < 6; ++t) w.tables.finish(small, t, w.now);
+    EXPECT_TRUE(place_waiting(w.tables, any_machine, w.now).empty());
+    w.tables.finish(small, 6, w.now);
+    EXPECT_EQ(place_waiting(w.tables, any_machine, w.now)[0].job, large);
+}
+
+TEST(Placement, CpuTasksLeaveWhatTheFreeGpusNeed) {
+    // GPU machines stood full of CPU tasks, at their full price, while GPU jobs waited.
+    World w;
+    w.machine("gpu", "gpu");  // 8 CPUs, 4 GPUs
+    auto gpu_job = w.job(w.spec("req-1", JobKind::Array, 1, 1.5, 1, Priority::Low));
+    auto cpu_job = w.job(w.spec("req-2", JobKind::Array, 8, 1, 0, Priority::High));
+    place_waiting(w.tables, any_machine, w.now);
+    EXPECT_EQ(w.tables.jobs[cpu_job]->placed, 2u);
+    EXPECT_EQ(w.tables.jobs[gpu_job]->placed, 1u);
+}
+
 TEST(Order, PriorityThenGuaranteeThenDeadline) {
     World w;
     auto late = w.job(w.spec("req-1", JobKind::Array, 1, 1, 0, Priority::Low));
@@ -224,6 +248,43 @@
     EXPECT_EQ(plan_rentals(w.tables, any_machine, w.now), (std::vector<Rental>{{std_type, zone_b, true, 2}}));
 }
 
+TEST(Sizing, AJobBoundToOneZoneIsNotKeptInAZoneThatIsFull) {
+    // With one machine in zone a and no more to be had there, jobs queued for it while zone b was empty.
+    World w;
+    auto std_type = w.tables.names.types.find("std");
+    auto zone_a = w.tables.names.zones.find("a"), zone_b = w.tables.names.zones.find("b");
+    auto m = w.machine("m0");
+    auto s = w.spec("req-1", JobKind::Gang, 1, 7);
+    s.one_zone = true;
+    s.spot = false;
+    s.estimate_s = 300;
+    w.running(s, {m});
+    s.id = "req-2";
+    w.job(s);
+    w.tables.refusals.push_back({w.now + 10, {std_type, zone_a, false}});
+    EXPECT_EQ(plan_rentals(w.tables, any_machine, w.now), (std::vector<Rental>{{std_type, zone_b, false, 1}}));
+}
+
+TEST(Sizing, WaitsForRoomThatComesSoonerThanANewMachine) {
+    struct Row {
+        double left_s, deadline_s;
+        size_t rentals;
+    };
+    // A new machine takes 30 s; a job with time to spare waits longer than that.
+    for (auto& row : {Row{20, 60, 0}, Row{40, 60, 1}, Row{40, 600, 0}}) {
+        World w;
+        auto m = w.machine("m0");
+        auto s = w.spec("req-1", JobKind::Array, 1, 8);
+        s.estimate_s = row.left_s;
+        auto j = w.running(s, {m});
+        w.tables.jobs[j]->tasks[0].running_at = static_cast<float>(w.now);
+        s.id = "req-2";
+        s.deadline_s = row.deadline_s;
+        w.job(s);
+        EXPECT_EQ(plan_rentals(w.tables, any_machine, w.now).size(), row.rentals) << row.left_s << " " << row.deadline_s;
+    }
+}
+
 TEST(Sizing, ReturnsIdleGivenUpAndFailedMachines) {
     World w;
     auto idle = w.machine("idle"), busy = w.machine("busy"), doomed = w.machine("doomed"), fresh = w.machine("fresh");
