--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -10,6 +10,8 @@
 
 constexpr int kMaxRental = 50;  // machines in one request to the cloud
 constexpr double kNewcomer_s = 15;
+constexpr double kBoot = 1.1;         // a boot to expect, in boot times of the type
+constexpr double kSooner = 1.3;       // a new machine must be sooner by this factor to be worth renting
 constexpr double kPatience = 0.4;     // share of a job's slack that it may wait for room
 constexpr double kStopping_s = 3;     // a task told to stop is gone soon
 constexpr double kOverdue = 0.15;     // of its expected run: what is left of a task that should be over
@@ -61,7 +63,7 @@
         // One that a change of leader has just revealed is likely to report soon.
         bool booting = !m->up && (m->status == MachineStatus::Booting || now - m->added < kNewcomer_s);
         if (!booting && !usable(*m)) continue;
-        Coming c{m->type, m->zone, m->spot, booting ? std::max(2.0, m->rented + 1.1 * boot - now) : 0, m->room(), {}};
+        Coming c{m->type, m->zone, m->spot, booting ? std::max(0.2 * boot, m->rented + kBoot * boot - now) : 0, m->room(), {}};
         for (auto& ref : m->tasks) {
             auto& job = *tables.jobs[ref.job];
             if (job.spec.kind == JobKind::Service) continue;
@@ -171,14 +173,14 @@
                             double cost = (spot ? type.spot_price : type.price) / static_cast<double>(fits);
                             if (offer.type == kNone || cost < best_cost - 1e-12) {
                                 best_cost = cost;
-                                offer = {t, z, spot, type.boot_s, type.size, {}};
+                                offer = {t, z, spot, kBoot * type.boot_s, type.size, {}};
                             }
                         }
                     }
                 }
                 // Waiting for room that will be there no later than a new machine costs nothing; longer waits
                 // are taken as far as the job can afford them.
-                bool soon = best_at <= std::max(offer.from, willing);
+                bool soon = best_at <= std::max(kSooner * offer.from, willing);
                 bool wait = best < trial.size() && (offer.type == kNone || soon);
                 if (!wait) {
                     if (offer.type == kNone) break;
