--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -53,7 +53,7 @@
 
 // Operators' own settings: every one has a default and a range (docs/operations.md).
 struct Properties {
-    double election_lease_s = 4.0;
+    double election_lease_s = 2.5;
     double preemption_round_s = 10.0;
     double idle_keep_boots = 1.0;
     double scheduling_pause_s = 0.1;
