--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -18,8 +18,10 @@
         if (o.job_class.empty() || o.within_s <= 0) continue;
         auto index = names.classes.intern(o.job_class);
         if (classes.size() <= index) classes.resize(index + 1);
-        auto& within = o.kind == "wait" ? classes[index].start_within_s : classes[index].done_within_s;
-        if (o.kind == "wait" || o.kind == "finished") within = within > 0 ? std::min(within, o.within_s) : o.within_s;
+        auto& c = classes[index];
+        if (o.kind == "wait") c.start_within_s = c.start_within_s > 0 ? std::min(c.start_within_s, o.within_s) : o.within_s;
+        if (o.kind == "finished") c.done_within_s.push_back(o.within_s);
+        std::sort(c.done_within_s.begin(), c.done_within_s.end());
     }
     // A placed task takes at most some 60 bytes of its chunk's value.
     chunk_tasks = std::max(8u, static_cast<uint32_t>(settings.value_kb * 1024 / 64) - 4);
@@ -197,6 +199,22 @@
     touch(index, t);
 }
 
+double Tables::due(const Job& job, double earliest, int& missed) const {
+    missed = 0;
+    double due = 1e18;
+    auto consider = [&](double within) {
+        double at = job.seen_at + within;
+        if (at < earliest)
+            ++missed;
+        else
+            due = std::min(due, at);
+    };
+    if (job.spec.deadline_s >= 0) consider(job.spec.deadline_s);
+    if (job.spec.job_class < classes.size())
+        for (double within : classes[job.spec.job_class].done_within_s) consider(within);
+    return due;
+}
+
 double Tables::expected_run_s(const JobSpec& spec) const {
     return spec.estimate_s * (spec.job_class < classes.size() ? classes[spec.job_class].bias : 1);
 }
@@ -261,7 +279,9 @@
 }
 }  // namespace
 
-bool Tables::within_limit(const Team& team, const Resources& extra) const { return under(team.limit, team.used + extra); }
+bool Tables::below_limit(const Team& team, const Resources& use) const { return under(team.limit, use); }
+
+bool Tables::within_limit(const Team& team, const Resources& extra) const { return below_limit(team, team.used + extra); }
 
 bool Tables::within_guarantee(const Team& team, const Resources& extra) const {
     auto use = team.used + extra;
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -38,7 +38,7 @@
 struct Job {
     JobSpec spec;
     double submitted = 0;  // time of day, seconds
-    double seen_at = 0;    // steady clock of this leader
+    double seen_at = 0;    // when it was submitted, by the steady clock of this leader
     uint64_t version = 0;  // of its key, 0: not recorded yet
     bool cancelled = false;
     bool cancel_recorded = false;  // and so may be told
@@ -110,7 +110,8 @@
 
 // What is asked for a class of jobs, and what its finished tasks taught about its owners' estimates.
 struct JobClass {
-    double start_within_s = 0, done_within_s = 0;  // 0: nothing is asked
+    double start_within_s = 0;          // 0: nothing is asked
+    std::vector<double> done_within_s;  // shortest first
     double bias = 1, learnt = 0;                   // run time over estimate; weight of the evidence
 };
 
@@ -159,6 +160,9 @@
     // Chunks changed and not yet queued for recording are handed out through this.
     std::deque<std::pair<Index, uint32_t>> changed_chunks;
 
+    // What a job should still be done by, on the steady clock, given that it can't be before `earliest`;
+    // `missed`: how many such times are past saving.
+    double due(const Job& job, double earliest, int& missed) const;
     // Run time to expect of a task, without its image fetch.
     double expected_run_s(const JobSpec& spec) const;
     void learn_run(const JobSpec& spec, double run_s);
@@ -175,6 +179,7 @@
     bool type_fits(const JobSpec& spec, Index type) const;
     // Allowed by type, zone and kind, room aside.
     bool machine_allowed(const JobSpec& spec, const Machine& m) const;
+    bool below_limit(const Team& team, const Resources& use) const;
     bool within_limit(const Team& team, const Resources& extra) const;
     bool within_guarantee(const Team& team, const Resources& extra) const;
     bool over_guarantee(const Team& team) const;
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -88,8 +88,11 @@
     ready_ = true;
     spdlog::info("leader: ready token={} jobs={} machines={}", tenure_->token, tables_.job_index.size(),
                  tables_.machine_index.size());
-    for (Index j = 0; j < tables_.jobs.size(); ++j)
-        if (tables_.jobs[j]) check_job(j);
+    for (Index j = 0; j < tables_.jobs.size(); ++j) {
+        if (!tables_.jobs[j]) continue;
+        tables_.jobs[j]->seen_at = now_ - std::max(0.0, wall_now() - tables_.jobs[j]->submitted);
+        check_job(j);
+    }
     asio::co_spawn(io_, tick_loop(self), asio::detached);
     asio::co_spawn(io_, list_loop(self), asio::detached);
     while (!stopped_) {
@@ -1068,11 +1071,6 @@
 void Leader::preempt() {
     if (!sure(now_)) return;
     auto round = plan_preemption(tables_, [this](const Machine& m) { return usable(m); }, now_);
-    for (auto j : waiting_jobs(tables_, now_)) {
-        auto& job = *tables_.jobs[j];
-        spdlog::debug("waiting: {} class={} pending={} age={:.0f} within_limit={} team_cpu={}", job.spec.id, tables_.names.classes.name(job.spec.job_class),
-                      job.pending, now_ - job.seen_at, tables_.within_limit(tables_.teams[job.spec.team], job.spec.need), tables_.teams[job.spec.team].used.cpu / 1000);
-    }
     if (round.clearings.empty()) return;
     ++rounds_;
     ledger_.note(kRoundKey, round_record(round, tables_, rounds_));
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -44,9 +44,11 @@
     auto key = [&](Index j) {
         auto& job = *tables.jobs[j];
         auto& team = tables.teams[job.spec.team];
-        auto due = job.spec.deadline_s >= 0 ? job.submitted + job.spec.deadline_s : 1e18;
+        // Among equals, those that can still be in time go first, and of them the one due soonest.
+        int missed;
+        double due = tables.due(job, now + tables.expected_run_s(job.spec), missed);
         return std::make_tuple(-static_cast<int>(job.spec.priority), !tables.within_guarantee(team, job.spec.need),
-                               -job.spec.need.gpu, due, job.submitted, std::string_view(job.spec.id));
+                               -job.spec.need.gpu, missed, due, job.submitted, std::string_view(job.spec.id));
     };
     std::sort(out.begin(), out.end(), [&](Index a, Index b) { return key(a) < key(b); });
     return out;
@@ -157,7 +159,11 @@
     std::vector<Placement> out;
     // Of each team's limit, what its large jobs are waiting for: small tasks that come after them would
     // otherwise fill the limit again each time that one ends, and a large job would never get its share.
+    // What could not be filled by large jobs alone is left to the others.
     std::vector<std::pair<Priority, Resources>> held(tables.teams.size(), {Priority::Production, {}});
+    std::vector<Resources> large(tables.teams.size());
+    for (auto& job : tables.jobs)
+        if (job && tables.large(job->spec)) large[job->spec.team] += job->spec.need * job->placed;
     for (auto j : waiting_jobs(tables, now)) {
         if (out.size() >= most) break;
         auto& job = *tables.jobs[j];
@@ -168,8 +174,10 @@
         else
             place_tasks(tables, usable, j, kept, now, most, out);
         if (job.pending > 0 && tables.large(job.spec)) {
+            auto more = job.spec.need * (job.spec.kind == JobKind::Gang ? job.pending : 1);
+            if (!tables.below_limit(tables.teams[job.spec.team], large[job.spec.team] + share + more)) continue;
             above = job.spec.priority;
-            share += job.spec.need * (job.spec.kind == JobKind::Gang ? job.pending : 1);
+            share += more;
         }
     }
     for (auto& p : out) {
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -83,14 +83,12 @@
 // How long the job may wait for room and still end as asked, with some to spare.
 double patience(const Tables& tables, const Job& job, double fetch, double now) {
     auto& spec = job.spec;
-    double age = now - job.seen_at + fetch, run = tables.expected_run_s(spec);
-    double slack = 1e18;
-    if (spec.deadline_s >= 0) slack = std::min(slack, spec.deadline_s - age - run);
-    if (spec.job_class < tables.classes.size()) {
-        auto& c = tables.classes[spec.job_class];
-        if (c.start_within_s > 0) slack = std::min(slack, c.start_within_s - age);
-        if (c.done_within_s > 0) slack = std::min(slack, c.done_within_s - age - run);
-    }
+    double run = tables.expected_run_s(spec);
+    int missed;
+    double slack = tables.due(job, now + fetch + run, missed) - (now + fetch + run);
+    if (missed > 0) slack = 0;
+    if (spec.job_class < tables.classes.size() && tables.classes[spec.job_class].start_within_s > 0)
+        slack = std::min(slack, job.seen_at + tables.classes[spec.job_class].start_within_s - now - fetch);
     return slack > 1e17 ? run : kPatience * std::max(0.0, slack);
 }
 
