--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -55,7 +55,7 @@
 struct Properties {
     double election_lease_s = 2.5;
     double preemption_round_s = 10.0;
-    double idle_keep_boots = 1.0;
+    double idle_keep_boots = 0.3;
     double scheduling_pause_s = 0.1;
     double quarantine_s = 120.0;
 };
