Keep room free for classes whose jobs should start sooner than a new machine boots

Cause: settlement should start within 15 s, a new cedar takes 15 s to boot and more to report and fetch. Room for what comes during a boot, and for the largest recent job, is rented ahead and kept. Machines are also kept until their least charge of 60 s is used up. Kept, with a test.

--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -4,6 +4,10 @@
 
 namespace weirmill {
 
+namespace {
+constexpr size_t kMostArrivals = 64;
+}
+
 Tables::Tables(const Settings& settings) {
     for (auto& t : settings.teams) {
         names.teams.intern(t.name);
@@ -37,6 +41,11 @@
     job->seen_at = now;
     job->spec = std::move(spec);
     task_count += job->tasks.size();
+    if (classes.size() <= job->spec.job_class) classes.resize(job->spec.job_class + 1);
+    auto& c = classes[job->spec.job_class];
+    c.arrivals.emplace_back(now, job->spec.tasks);
+    if (c.arrivals.size() > kMostArrivals) c.arrivals.pop_front();
+    c.last = job->spec;
     if (auto& need = job->spec.need; need.gpu >= 1000) {
         Resources share{need.cpu * 1000 / need.gpu, 1000, need.mem * 1000 / need.gpu};
         if (per_gpu.gpu == 0) per_gpu = share;
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -112,7 +112,9 @@
 struct JobClass {
     double start_within_s = 0;          // 0: nothing is asked
     std::vector<double> done_within_s;  // shortest first
-    double bias = 1, learnt = 0;                   // run time over estimate; weight of the evidence
+    double bias = 1, learnt = 0;        // run time over estimate; weight of the evidence
+    std::deque<std::pair<double, uint32_t>> arrivals;  // of recent jobs: when, how many tasks
+    JobSpec last;                                      // the newest of them
 };
 
 struct Refusal {
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -909,8 +909,9 @@
 
 void Leader::size_fleet() {
     if (!tables_.types_known || !listed_once_ || !sure(now_)) return;
+    SizingSettings sizing{properties_.idle_keep_boots, settings_.report_s};
     if (!returning_) {
-        auto idle = plan_returns(tables_, {properties_.idle_keep_boots}, now_);
+        auto idle = plan_returns(tables_, sizing, now_);
         std::vector<std::string> names;
         for (auto i : idle) {
             if (names.size() == 100) break;
@@ -924,7 +925,7 @@
         }
     }
     if (!renting_ && now_ >= rent_not_before_) {
-        auto rentals = plan_rentals(tables_, [this](const Machine& m) { return usable(m); }, now_);
+        auto rentals = plan_rentals(tables_, [this](const Machine& m) { return usable(m); }, sizing, now_);
         if (!rentals.empty()) {
             renting_ = true;
             asio::co_spawn(io_, rent(shared_from_this(), std::move(rentals)), asio::detached);
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -15,6 +15,8 @@
 constexpr double kPatience = 0.15;     // share of a job's slack that it may wait for room
 constexpr double kStopping_s = 3;     // a task told to stop is gone soon
 constexpr double kOverdue = 0.15;     // of its expected run: what is left of a task that should be over
+constexpr double kLeastCharge_s = 60;  // a machine costs this much even if it is returned sooner
+constexpr double kRecent_s = 120;      // what came in this time is what will come
 constexpr size_t kMostTasks = 400;    // of one job, looked at one by one
 
 // A machine that is up, coming up or to be rented, as far as it is known when it will have room.
@@ -80,6 +82,31 @@
     return out;
 }
 
+// The offer that is cheapest for a task of `tasks`; spot first where it may be used.
+Coming cheapest_offer(const Tables& tables, const JobSpec& spec, size_t tasks, Index only, const ZoneRule& rule, double now) {
+    double best_cost = 0;
+    Coming offer{kNone, kNone, false, 0, {}, {}};
+    for (Index t = 0; t < tables.types.size(); ++t) {
+        if (!tables.type_fits(spec, t) || tables.spares_gpus(spec, t)) continue;
+        auto& type = tables.types[t].type;
+        auto fits = std::min<int64_t>(spec.need.times_in(type.size), static_cast<int64_t>(tasks));
+        for (auto& zone_name : type.zones) {
+            auto z = tables.names.zones.find(zone_name);
+            if (z == kNone || (only != kNone && z != only) || (spec.zone != kNone && z != spec.zone)) continue;
+            if (!rule.allows(z)) continue;
+            for (bool spot : {true, false}) {
+                if ((spot && !spec.spot) || tables.refused(t, z, spot, now)) continue;
+                double cost = (spot ? type.spot_price : type.price) / static_cast<double>(fits);
+                if (offer.type == kNone || cost < best_cost - 1e-12) {
+                    best_cost = cost;
+                    offer = {t, z, spot, kBoot * type.boot_s, type.size, {}};
+                }
+            }
+        }
+    }
+    return offer;
+}
+
 // How long the job may wait for room and still end as asked, with some to spare.
 double patience(const Tables& tables, const Job& job, double fetch, double now) {
     auto& spec = job.spec;
@@ -94,7 +121,31 @@
 
 }  // namespace
 
-std::vector<Rental> plan_rentals(const Tables& tables, const Usable& usable, double now) {
+std::vector<Spare> spares(const Tables& tables, const SizingSettings& settings, double now) {
+    std::vector<Spare> out;
+    for (auto& c : tables.classes) {
+        if (c.start_within_s <= 0 || c.arrivals.empty() || c.last.team == kNone) continue;
+        double boot = 1e18;
+        for (Index t = 0; t < tables.types.size(); ++t)
+            if (tables.type_fits(c.last, t)) boot = std::min(boot, kBoot * tables.types[t].type.boot_s + tables.fetch_s(c.last, t));
+        double fresh = boot + 2 * settings.report_s;
+        if (boot > 1e17 || fresh <= c.start_within_s) continue;
+        // As many as come, and a little more, while a new machine boots; and room for the largest.
+        double tasks = 0;
+        uint32_t largest = 0;
+        for (auto& [at, n] : c.arrivals) {
+            if (now - at > kRecent_s) continue;
+            tasks += n;
+            largest = std::max(largest, n);
+        }
+        if (tasks == 0) continue;
+        double mean = tasks / kRecent_s * fresh;
+        out.push_back({&c.last, std::max<int64_t>(largest, static_cast<int64_t>(std::ceil(mean + std::sqrt(mean))))});
+    }
+    return out;
+}
+
+std::vector<Rental> plan_rentals(const Tables& tables, const Usable& usable, const SizingSettings& settings, double now) {
     auto coming = known_machines(tables, usable, now);
     std::map<std::tuple<Index, Index, bool>, int> wanted;
     std::vector<Resources> team_extra(tables.teams.size());
@@ -155,27 +206,7 @@
                     double at = c.start(spec.need, taken);
                     if (at < best_at) best = i, best_at = at, best_taken = taken;
                 }
-                // The offer that is cheapest for a task of what is left; spot first where it may be used.
-                double best_cost = 0;
-                Coming offer{kNone, kNone, false, 0, {}, {}};
-                for (Index t = 0; t < tables.types.size(); ++t) {
-                    if (!tables.type_fits(spec, t) || tables.spares_gpus(spec, t)) continue;
-                    auto& type = tables.types[t].type;
-                    auto fits = std::min<int64_t>(spec.need.times_in(type.size), static_cast<int64_t>(rest));
-                    for (auto& zone_name : type.zones) {
-                        auto z = tables.names.zones.find(zone_name);
-                        if (z == kNone || (only != kNone && z != only) || (spec.zone != kNone && z != spec.zone)) continue;
-                        if (!trial_rule.allows(z)) continue;
-                        for (bool spot : {true, false}) {
-                            if ((spot && !spec.spot) || tables.refused(t, z, spot, now)) continue;
-                            double cost = (spot ? type.spot_price : type.price) / static_cast<double>(fits);
-                            if (offer.type == kNone || cost < best_cost - 1e-12) {
-                                best_cost = cost;
-                                offer = {t, z, spot, kBoot * type.boot_s, type.size, {}};
-                            }
-                        }
-                    }
-                }
+                auto offer = cheapest_offer(tables, spec, rest, only, trial_rule, now);
                 // Waiting for room that will be there no later than a new machine costs nothing; longer waits
                 // are taken as far as the job can afford them.
                 bool soon = best_at <= std::max(kSooner * offer.from, willing);
@@ -211,6 +242,20 @@
         coming = std::move(chosen.machines);
         for (auto& [key, n] : chosen.wanted) wanted[key] += n;
     }
+    for (auto& spare : spares(tables, settings, now)) {
+        int64_t free = 0;
+        for (auto& c : coming)
+            if (serves(tables, *spare.like, c)) free += spare.like->need.times_in(c.room);
+        Job nobody;
+        nobody.spec = *spare.like;
+        ZoneRule anywhere(tables, nobody);
+        while (free < spare.tasks) {
+            auto offer = cheapest_offer(tables, *spare.like, static_cast<size_t>(spare.tasks - free), kNone, anywhere, now);
+            if (offer.type == kNone) break;
+            ++wanted[{offer.type, offer.zone, offer.spot}];
+            free += std::max<int64_t>(1, spare.like->need.times_in(offer.room));
+        }
+    }
     std::vector<Rental> out;
     for (auto& [key, n] : wanted) out.push_back({std::get<0>(key), std::get<1>(key), std::get<2>(key), std::min(n, kMaxRental)});
     return out;
@@ -218,7 +263,16 @@
 
 std::vector<Index> plan_returns(const Tables& tables, const SizingSettings& settings, double now) {
     std::vector<Index> out;
-    auto waiting = waiting_jobs(tables, 1e18);
+    auto waiting = waiting_jobs(tables, now);
+    auto spare = spares(tables, settings, now);
+    auto keeps = [&](const Machine& m) {
+        for (auto& s : spare) {
+            if (s.tasks <= 0 || !tables.machine_allowed(*s.like, m) || tables.spares_gpus(*s.like, m.type)) continue;
+            s.tasks -= s.like->need.times_in(m.room());
+            return true;
+        }
+        return false;
+    };
     for (Index i = 0; i < tables.machines.size(); ++i) {
         auto* m = tables.machines[i].get();
         if (!m || m->returning) continue;
@@ -240,7 +294,8 @@
         });
         if (useful) continue;
         double keep = settings.idle_keep_boots * tables.types[m->type].type.boot_s;
-        if (now - std::max(m->empty_since, m->up_at) >= keep) out.push_back(i);
+        if (now - m->rented < kLeastCharge_s || now - std::max(m->empty_since, m->up_at) < keep) continue;
+        if (!keeps(*m)) out.push_back(i);
     }
     return out;
 }
--- a/src/coordination/sizing.h
+++ b/src/coordination/sizing.h
@@ -16,11 +16,19 @@
 };
 
 struct SizingSettings {
-    double idle_keep_boots = 1.0;
+    double idle_keep_boots = 0.3;
+    double report_s = 1;
 };
 
+// Room to keep free for a class whose jobs should start sooner than a new machine comes up.
+struct Spare {
+    const JobSpec* like;
+    int64_t tasks;
+};
+std::vector<Spare> spares(const Tables& tables, const SizingSettings& settings, double now);
+
 // What waiting work needs beyond the machines that are up or coming up.
-std::vector<Rental> plan_rentals(const Tables& tables, const Usable& usable, double now);
+std::vector<Rental> plan_rentals(const Tables& tables, const Usable& usable, const SizingSettings& settings, double now);
 
 // Machines that serve nothing any more.
 std::vector<Index> plan_returns(const Tables& tables, const SizingSettings& settings, double now);
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -238,14 +238,14 @@
     auto std_type = w.tables.names.types.find("std");
     auto zone_a = w.tables.names.zones.find("a"), zone_b = w.tables.names.zones.find("b");
     w.job(w.spec("req-1", JobKind::Array, 17, 1));
-    EXPECT_EQ(plan_rentals(w.tables, any_machine, w.now), (std::vector<Rental>{{std_type, zone_a, true, 3}}));
+    EXPECT_EQ(plan_rentals(w.tables, any_machine, {}, w.now), (std::vector<Rental>{{std_type, zone_a, true, 3}}));
     // A machine that is coming up already counts, whether the list shows it or not.
     auto& m = *w.tables.machines[w.machine("m0", "std", "a", true)];
     m.up = false;
-    EXPECT_EQ(plan_rentals(w.tables, any_machine, w.now), (std::vector<Rental>{{std_type, zone_a, true, 2}}));
+    EXPECT_EQ(plan_rentals(w.tables, any_machine, {}, w.now), (std::vector<Rental>{{std_type, zone_a, true, 2}}));
     // Refused there: the next cheapest offer.
     w.tables.refusals.push_back({w.now + 10, {std_type, zone_a, true}});
-    EXPECT_EQ(plan_rentals(w.tables, any_machine, w.now), (std::vector<Rental>{{std_type, zone_b, true, 2}}));
+    EXPECT_EQ(plan_rentals(w.tables, any_machine, {}, w.now), (std::vector<Rental>{{std_type, zone_b, true, 2}}));
 }
 
 TEST(Sizing, AJobBoundToOneZoneIsNotKeptInAZoneThatIsFull) {
@@ -262,7 +262,7 @@
     s.id = "req-2";
     w.job(s);
     w.tables.refusals.push_back({w.now + 10, {std_type, zone_a, false}});
-    EXPECT_EQ(plan_rentals(w.tables, any_machine, w.now), (std::vector<Rental>{{std_type, zone_b, false, 1}}));
+    EXPECT_EQ(plan_rentals(w.tables, any_machine, {}, w.now), (std::vector<Rental>{{std_type, zone_b, false, 1}}));
 }
 
 TEST(Sizing, AMachineJustRentedIsNotRentedAgain) {
@@ -271,11 +271,11 @@
     auto s = w.spec("req-1", JobKind::Array, 1, 8);
     s.deadline_s = 1;
     w.job(s);
-    ASSERT_EQ(plan_rentals(w.tables, any_machine, w.now).size(), 1u);
+    ASSERT_EQ(plan_rentals(w.tables, any_machine, {}, w.now).size(), 1u);
     auto& m = *w.tables.machines[w.machine("m0", "std", "a", true)];
     m.up = false;
     m.rented = w.now;
-    for (double later : {0.0, 0.5, 10.0, 29.0, 40.0}) EXPECT_TRUE(plan_rentals(w.tables, any_machine, w.now + later).empty()) << later;
+    for (double later : {0.0, 0.5, 10.0, 29.0, 40.0}) EXPECT_TRUE(plan_rentals(w.tables, any_machine, {}, w.now + later).empty()) << later;
 }
 
 TEST(Sizing, WaitsForRoomThatComesSoonerThanANewMachine) {
@@ -294,18 +294,39 @@
         s.id = "req-2";
         s.deadline_s = row.deadline_s;
         w.job(s);
-        EXPECT_EQ(plan_rentals(w.tables, any_machine, w.now).size(), row.rentals) << row.left_s << " " << row.deadline_s;
+        EXPECT_EQ(plan_rentals(w.tables, any_machine, {}, w.now).size(), row.rentals) << row.left_s << " " << row.deadline_s;
     }
 }
 
+TEST(Sizing, KeepsRoomForJobsThatShouldStartSoonerThanANewMachine) {
+    World w;
+    auto s = w.spec("req-1", JobKind::Gang, 2, 7);
+    w.tables.classes.resize(s.job_class + 1);
+    w.tables.classes[s.job_class].start_within_s = 15;
+    auto m0 = w.machine("m0"), m1 = w.machine("m1");
+    w.running(s, {m0, m1});
+    // Both machines are taken: room for another job of two is rented before it comes.
+    int rented = 0;
+    for (auto& r : plan_rentals(w.tables, any_machine, {}, w.now)) rented += r.count;
+    EXPECT_EQ(rented, 2);
+    // Idle ones are kept for it, until no such job has come for a while.
+    w.machine("m2");
+    w.machine("m3");
+    w.now += 100;
+    EXPECT_TRUE(plan_rentals(w.tables, any_machine, {}, w.now).empty());
+    EXPECT_TRUE(plan_returns(w.tables, {0.3, 1}, w.now).empty());
+    w.now += 100;
+    EXPECT_EQ(plan_returns(w.tables, {0.3, 1}, w.now).size(), 2u);
+}
+
 TEST(Sizing, ReturnsIdleGivenUpAndFailedMachines) {
     World w;
     auto idle = w.machine("idle"), busy = w.machine("busy"), doomed = w.machine("doomed"), fresh = w.machine("fresh");
     w.running(w.spec("req-1", JobKind::Array, 1, 1), {busy});
     w.tables.machines[doomed]->doomed = true;
-    w.now += 31;
+    w.now += 61;
     w.tables.machines[fresh]->up_at = w.now;
-    EXPECT_EQ(plan_returns(w.tables, {1.0}, w.now), (std::vector<Index>{idle, doomed}));
+    EXPECT_EQ(plan_returns(w.tables, {1.0, 1}, w.now), (std::vector<Index>{idle, doomed}));
 }
 
 }  // namespace
