--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -87,6 +87,7 @@
     double added = 0, rented = 0, missing_since = 0, up_at = 0;
     // What is done with it.
     bool returning = false, doomed = false;  // doomed: a boot given up, an expired lease
+    bool closing = false;                    // its tasks move elsewhere, then it goes back
     double quarantined_until = 0;
     int faults = 0;
     std::set<Index> faulty_jobs;
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -19,6 +19,7 @@
 constexpr size_t kMaxStrays = 2000;
 constexpr double kHold_s = 0.35;       // a report waits this long for records at most
 constexpr double kAsk_s = 2.0;
+constexpr double kClosingPause_s = 4;  // one machine at a time: its tasks must find their places first
 constexpr double kCall_s = 1.5;
 
 double wall_now() {
@@ -474,7 +475,7 @@
 // ---- workers ----
 
 bool Leader::usable(const Machine& m) const {
-    return m.up && !m.returning && !m.doomed && m.notice_until < 0 && m.quarantined_until <= now_ &&
+    return m.up && !m.returning && !m.doomed && !m.closing && m.notice_until < 0 && m.quarantined_until <= now_ &&
            now_ - m.last_report < 2.2 * settings_.report_s + 1 && m.type < tables_.types.size() &&
            tables_.types[m.type].offered;
 }
@@ -924,8 +925,19 @@
             asio::co_spawn(io_, give_back(shared_from_this(), std::move(names)), asio::detached);
         }
     }
+    auto can_use = [this](const Machine& m) { return usable(m); };
+    if (now_ >= next_closing_) {
+        next_closing_ = now_ + kClosingPause_s;
+        if (auto i = plan_closing(tables_, can_use, now_); i != kNone) {
+            auto& m = *tables_.machines[i];
+            spdlog::info("machine: {} closed, {} tasks move", m.name, m.tasks.size());
+            m.closing = true;
+            auto tasks = m.tasks;
+            for (auto& ref : tasks) stop_task(ref.job, ref.task, true);
+        }
+    }
     if (!renting_ && now_ >= rent_not_before_) {
-        auto rentals = plan_rentals(tables_, [this](const Machine& m) { return usable(m); }, sizing, now_);
+        auto rentals = plan_rentals(tables_, can_use, sizing, now_);
         if (!rentals.empty()) {
             renting_ = true;
             asio::co_spawn(io_, rent(shared_from_this(), std::move(rentals)), asio::detached);
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -17,6 +17,8 @@
 constexpr double kOverdue = 0.15;     // of its expected run: what is left of a task that should be over
 constexpr double kLeastCharge_s = 60;  // a machine costs this much even if it is returned sooner
 constexpr double kRecent_s = 120;      // what came in this time is what will come
+constexpr double kSettled_s = 30;      // a task that has just started is left alone
+constexpr double kMove_s = 6;          // from a task's exit to its start elsewhere
 constexpr size_t kMostTasks = 400;    // of one job, looked at one by one
 
 // A machine that is up, coming up or to be rented, as far as it is known when it will have room.
@@ -261,6 +263,54 @@
     return out;
 }
 
+namespace {
+bool wants(const Tables& tables, const Job& job, const Machine& m) {
+    return tables.machine_allowed(job.spec, m) && !tables.spares_gpus(job.spec, m.type) &&
+           tables.within_limit(tables.teams[job.spec.team], job.spec.need);
+}
+}  // namespace
+
+Index plan_closing(const Tables& tables, const Usable& usable, double now) {
+    Index best = kNone;
+    double best_gain = 0;
+    auto waiting = waiting_jobs(tables, now);
+    for (Index i = 0; i < tables.machines.size(); ++i) {
+        auto* m = tables.machines[i].get();
+        if (!m || m->tasks.empty() || !usable(*m) || m->reserved_for != kNone) continue;
+        if (std::any_of(waiting.begin(), waiting.end(), [&](Index j) { return wants(tables, *tables.jobs[j], *m); })) continue;
+        auto& type = tables.types[m->type].type;
+        // Room elsewhere, on machines that stay in use anyway.
+        std::vector<std::pair<const Machine*, Resources>> others;
+        for (auto& o : tables.machines)
+            if (o && o.get() != m && usable(*o) && !o->tasks.empty() && o->tasks.size() >= m->tasks.size()) others.emplace_back(o.get(), o->room());
+        double longest = 0, moving = 0;
+        bool fits = true;
+        for (auto& ref : m->tasks) {
+            auto& job = *tables.jobs[ref.job];
+            auto& task = job.tasks[ref.task];
+            auto& spec = job.spec;
+            double ran = now - task.running_at;
+            fits = spec.kind == JobKind::Array && spec.checkpoint_s > 0 && !spec.one_zone && !spec.spread && job.active() &&
+                   task.phase == TaskPhase::Running && !task.stopping && task.running_at > 0 && ran >= kSettled_s;
+            if (!fits) break;
+            auto place = std::find_if(others.begin(), others.end(), [&](auto& o) {
+                return tables.machine_allowed(spec, *o.first) && spec.need.fits_in(o.second) &&
+                       std::find(o.first->images.begin(), o.first->images.end(), spec.image) != o.first->images.end();
+            });
+            fits = place != others.end();
+            if (!fits) break;
+            place->second -= spec.need;
+            double run = tables.expected_run_s(spec);
+            longest = std::max(longest, std::max(kOverdue * run, run - ran));
+            moving = std::max(moving, spec.save_s + kMove_s);
+        }
+        if (!fits || longest < 2 * moving) continue;
+        double gain = (longest - moving) * (m->spot ? type.spot_price : type.price);
+        if (gain > best_gain) best = i, best_gain = gain;
+    }
+    return best;
+}
+
 std::vector<Index> plan_returns(const Tables& tables, const SizingSettings& settings, double now) {
     std::vector<Index> out;
     auto waiting = waiting_jobs(tables, now);
@@ -281,18 +331,13 @@
             continue;
         }
         if (!m->up || !m->tasks.empty()) continue;
-        if (m->quarantined_until > now) {
+        if (m->closing || m->quarantined_until > now) {
             out.push_back(i);
             continue;
         }
         if (m->reserved_for != kNone && m->reserved_until > now) continue;
         if (m->type >= tables.types.size() || !tables.types[m->type].offered) continue;
-        bool useful = std::any_of(waiting.begin(), waiting.end(), [&](Index j) {
-            auto& job = *tables.jobs[j];
-            return tables.machine_allowed(job.spec, *m) && !tables.spares_gpus(job.spec, m->type) &&
-                   tables.within_limit(tables.teams[job.spec.team], job.spec.need);
-        });
-        if (useful) continue;
+        if (std::any_of(waiting.begin(), waiting.end(), [&](Index j) { return wants(tables, *tables.jobs[j], *m); })) continue;
         double keep = settings.idle_keep_boots * tables.types[m->type].type.boot_s;
         if (now - m->rented < kLeastCharge_s || now - std::max(m->empty_since, m->up_at) < keep) continue;
         if (!keeps(*m)) out.push_back(i);
