--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -254,6 +254,8 @@
 
 bool Tables::leaves_gpus_usable(const JobSpec& spec, const Machine& m) const {
     if (!spares_gpus(spec, m.type)) return true;
+    // Nor does it keep a dear machine from going back: it comes where the GPUs are busy anyway.
+    if (m.used.gpu * 2 < m.size.gpu) return false;
     auto left = m.room() - spec.need;
     int64_t gpus = left.gpu / 1000;
     return left.cpu >= gpus * per_gpu.cpu && left.mem >= gpus * per_gpu.mem;
