--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -13,6 +13,7 @@
 constexpr double kBoot = 1.1;         // a boot to expect, in boot times of the type
 constexpr double kSooner = 1.3;       // a new machine must be sooner by this factor to be worth renting
 constexpr double kPatience = 0.15;     // share of a job's slack that it may wait for room
+constexpr double kThrift = 0.5;        // and as much more as a new machine would stand empty
 constexpr double kStopping_s = 3;     // a task told to stop is gone soon
 constexpr double kOverdue = 0.15;     // of its expected run: what is left of a task that should be over
 constexpr double kLeastCharge_s = 60;  // a machine costs this much even if it is returned sooner
@@ -109,8 +110,8 @@
     return offer;
 }
 
-// How long the job may wait for room and still end as asked, with some to spare.
-double patience(const Tables& tables, const Job& job, double fetch, double now) {
+// How long the job could wait for room and still end as asked.
+double slack_of(const Tables& tables, const Job& job, double fetch, double now) {
     auto& spec = job.spec;
     double run = tables.expected_run_s(spec);
     int missed;
@@ -118,7 +119,7 @@
     if (missed > 0) slack = 0;
     if (spec.job_class < tables.classes.size() && tables.classes[spec.job_class].start_within_s > 0)
         slack = std::min(slack, job.seen_at + tables.classes[spec.job_class].start_within_s - now - fetch);
-    return slack > 1e17 ? run : kPatience * std::max(0.0, slack);
+    return slack > 1e17 ? run : std::max(0.0, slack);
 }
 
 }  // namespace
@@ -166,7 +167,7 @@
         double run = tables.expected_run_s(spec), fetch = 0;
         for (Index t = 0; t < tables.types.size(); ++t)
             if (tables.type_fits(spec, t)) fetch = std::max(fetch, tables.fetch_s(spec, t));
-        double willing = patience(tables, job, fetch, now);
+        double slack = slack_of(tables, job, fetch, now);
 
         // The zones to try: any, or one at a time for a job bound to one.
         std::vector<Index> zones{kNone};
@@ -211,7 +212,10 @@
                 auto offer = cheapest_offer(tables, spec, rest, only, trial_rule, now);
                 // Waiting for room that will be there no later than a new machine costs nothing; longer waits
                 // are taken as far as the job can afford them.
-                bool soon = best_at <= std::max(kSooner * offer.from, willing);
+                double filled = 1;
+                if (offer.type != kNone)
+                    filled = std::min(1.0, static_cast<double>(rest) / static_cast<double>(spec.need.times_in(offer.room)));
+                bool soon = best_at <= std::max(kSooner * offer.from, (kPatience + kThrift * (1 - filled)) * slack);
                 bool wait = best < trial.size() && (offer.type == kNone || soon);
                 if (!wait) {
                     if (offer.type == kNone) break;
