--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -240,6 +240,12 @@
     c.bias *= std::pow(ratio / c.bias, weight / (c.learnt + 3));
 }
 
+void Tables::learn_boot(Index type, double boot_s) {
+    if (type >= types.size() || !types[type].offered || types[type].type.boot_s <= 0) return;
+    double ratio = std::clamp(boot_s / types[type].type.boot_s, 0.5, 4.0);
+    boot_factor += (ratio - boot_factor) * 0.2;
+}
+
 double Tables::fetch_s(const JobSpec& spec, Index type) const {
     double rate = types[type].type.fetch_gb_per_s;
     return rate > 0 ? spec.image_gb / rate : 0;
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -82,7 +82,7 @@
     double last_report = 0, last_answer = 0;
     double notice_until = -1;
     // What the cloud said.
-    bool listed = false, missing = false;
+    bool listed = false, missing = false, hired = false;  // hired: rented by this leader
     MachineStatus status = MachineStatus::Booting;
     double added = 0, rented = 0, missing_since = 0, up_at = 0;
     // What is done with it.
@@ -132,6 +132,8 @@
     std::vector<Team> teams;      // by team index
     std::vector<TypeInfo> types;  // by type index
     bool types_known = false;
+    double boot_factor = 1.1;  // observed boots, in boot times of their types; a few recent ones weigh most
+    void learn_boot(Index type, double boot_s);
     std::vector<std::unique_ptr<Job>> jobs;          // by job index; null: free
     std::vector<std::unique_ptr<Machine>> machines;  // by machine index; null: free
     std::unordered_map<std::string, Index> job_index, machine_index;
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -519,6 +519,8 @@
 
 void Leader::take_report(Machine& m, Index index, const Report& r) {
     if (!m.up) {
+        // Rented by this leader and up for the first time: its boot tells how boots go at present.
+        if (m.hired && m.up_at == 0) tables_.learn_boot(m.type, now_ - m.rented);
         m.up = true;
         m.up_at = now_;
         m.status = MachineStatus::Running;
@@ -852,8 +854,17 @@
                 continue;
             }
         }
+        // Silent, and no longer listed: taken, as it seems. To return it costs nothing and proves it gone, long
+        // before its lease would.
+        bool silent = now_ - std::max(m->last_report, tenure_->won) > 2.2 * settings_.report_s + 1;
+        bool unlisted = listed_once_ && (m->listed ? m->missing : now_ - m->added > 2 * settings_.list_lag_s + 1);
+        if (silent && unlisted && !m->doomed && (m->up || !m->tasks.empty())) {
+            spdlog::info("machine: {} is silent and not listed, returned", m->name);
+            m->doomed = true;
+        }
         if (!m->up && m->status == MachineStatus::Booting && !m->doomed && m->type < tables_.types.size() &&
             tables_.types[m->type].offered && now_ - m->rented > 3 * tables_.types[m->type].type.boot_s + 5) {
+            tables_.learn_boot(m->type, now_ - m->rented);
             spdlog::info("machine: {} given up after booting {:.0f}s", m->name, now_ - m->rented);
             m->doomed = true;
         }
@@ -953,6 +964,7 @@
         if (gone_.count(name)) continue;
         auto& m = *tables_.machines[tables_.add_machine(name, now_)];
         if (m.type == kNone) tables_.describe_machine(m, type, zone, r.rental.spot);
+        m.hired = true;
     }
     if (r.names.size() < static_cast<size_t>(r.rental.count))
         tables_.refusals.push_back({now_ + std::uniform_real_distribution<double>(12, 18)(random_),
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -10,7 +10,6 @@
 
 constexpr int kMaxRental = 50;  // machines in one request to the cloud
 constexpr double kNewcomer_s = 15;
-constexpr double kBoot = 1.1;         // a boot to expect, in boot times of the type
 constexpr double kSooner = 1.3;       // a new machine must be sooner by this factor to be worth renting
 constexpr double kPatience = 0.15;     // share of a job's slack that it may wait for room
 constexpr double kThrift = 0.5;        // and as much more as a new machine would stand empty
@@ -68,7 +67,7 @@
         // One that a change of leader has just revealed is likely to report soon.
         bool booting = !m->up && (m->status == MachineStatus::Booting || now - m->added < kNewcomer_s);
         if (!booting && !usable(*m)) continue;
-        Coming c{m->type, m->zone, m->spot, booting ? std::max(0.2 * boot, m->rented + kBoot * boot - now) : 0, m->room(), {}};
+        Coming c{m->type, m->zone, m->spot, booting ? std::max(0.2 * boot, m->rented + tables.boot_factor * boot - now) : 0, m->room(), {}};
         for (auto& ref : m->tasks) {
             auto& job = *tables.jobs[ref.job];
             if (job.spec.kind == JobKind::Service) continue;
@@ -102,7 +101,7 @@
                 double cost = (spot ? type.spot_price : type.price) / static_cast<double>(fits);
                 if (offer.type == kNone || cost < best_cost - 1e-12) {
                     best_cost = cost;
-                    offer = {t, z, spot, kBoot * type.boot_s, type.size, {}};
+                    offer = {t, z, spot, tables.boot_factor * type.boot_s, type.size, {}};
                 }
             }
         }
@@ -130,7 +129,7 @@
         if (c.start_within_s <= 0 || c.arrivals.empty() || c.last.team == kNone) continue;
         double boot = 1e18;
         for (Index t = 0; t < tables.types.size(); ++t)
-            if (tables.type_fits(c.last, t)) boot = std::min(boot, kBoot * tables.types[t].type.boot_s + tables.fetch_s(c.last, t));
+            if (tables.type_fits(c.last, t)) boot = std::min(boot, tables.boot_factor * tables.types[t].type.boot_s + tables.fetch_s(c.last, t));
         double fresh = boot + 2 * settings.report_s;
         if (boot > 1e17 || fresh <= c.start_within_s) continue;
         // As many as come, and a little more, while a new machine boots; and room for the largest.
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -239,7 +239,10 @@
     World w;
     auto std_type = w.tables.names.types.find("std");
     auto zone_a = w.tables.names.zones.find("a"), zone_b = w.tables.names.zones.find("b");
-    w.job(w.spec("req-1", JobKind::Array, 17, 1));
+    auto s = w.spec("req-1", JobKind::Array, 17, 1);
+    s.estimate_s = 300;
+    s.deadline_s = 330;  // too long, and too urgent, to be run one after the other
+    w.job(s);
     EXPECT_EQ(plan_rentals(w.tables, any_machine, {}, w.now), (std::vector<Rental>{{std_type, zone_a, true, 3}}));
     // A machine that is coming up already counts, whether the list shows it or not.
     auto& m = *w.tables.machines[w.machine("m0", "std", "a", true)];
