--- a/src/coordination/election.h
+++ b/src/coordination/election.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "bookkeeping/state_client.h"
+#include "bookkeeping/tables.h"
 #include "settings/settings.h"
 
 namespace weirmill {
@@ -45,6 +46,14 @@
     return last_answer + s.lease_s * (1 + 2 * kDrift) + 4 * kMargin_s;
 }
 
+// When all that may be on a machine is surely gone, unless it reports again. A report that waits for its answer
+// counts like an answered one: a machine used to be taken for gone while its first report was held.
+inline double lease_end(const Settings& s, const Machine& m, double won) {
+    double heard = std::max(m.last_answer, m.last_report);
+    double end = heard > 0 ? answered_expiry(s, heard) : 0;
+    return m.saw_token ? end : std::max(end, earlier_leader_expiry(s, won));
+}
+
 class Election {
   public:
     struct Events {
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -833,9 +833,7 @@
         auto* m = tables_.machines[i].get();
         if (!m) continue;
         // Until its lease has surely run out, whatever was placed there may be running.
-        double expiry = m->last_answer > 0 ? answered_expiry(settings_, m->last_answer) : 0;
-        if (!m->saw_token) expiry = std::max(expiry, earlier_leader_expiry(settings_, tenure_->won));
-        bool expired = now_ > expiry;
+        bool expired = now_ > lease_end(settings_, *m, tenure_->won);
         if (expired && m->up) {
             machine_gone(i, "its lease ran out");
             m->up = false;
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -262,6 +262,7 @@
     auto s = w.spec("req-1", JobKind::Gang, 1, 7);
     s.one_zone = true;
     s.spot = false;
+    s.types = {std_type};
     s.estimate_s = 300;
     w.running(s, {m});
     s.id = "req-2";
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -156,5 +156,31 @@
     }
 }
 
+TEST(Proof, AMachinesLeaseEndsOnlyAfterWhatMayHaveBeenAnswered) {
+    auto s = test::small_settings();  // lease 18 s
+    const double won = 1000, first = earlier_leader_expiry(s, won);
+    struct Row {
+        const char* why;
+        double report, answer;
+        bool saw_token;
+        double from, to;  // the lease may be taken for ended between these
+    };
+    const Row rows[] = {
+        {"never heard of: whatever the earlier leader answered last", 0, 0, false, first, first + 1},
+        {"answered, knows us", 1100, 1100, true, 1118, 1119},
+        {"answered, but may still take an earlier leader's answer", 1001, 1001, false, first, first + 1},
+        {"its first report is held, long after we won", 1100, 0, false, 1118, 1119},
+        {"a later report is held", 1105, 1100, true, 1123, 1124},
+    };
+    for (auto& row : rows) {
+        Machine m;
+        m.last_report = row.report;
+        m.last_answer = row.answer;
+        m.saw_token = row.saw_token;
+        EXPECT_GE(lease_end(s, m, won), row.from) << row.why;
+        EXPECT_LE(lease_end(s, m, won), row.to) << row.why;
+    }
+}
+
 }  // namespace
 }  // namespace weirmill
