--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -26,7 +26,7 @@
     heard_leader_ = steady_now();
     Election::Events events;
     events.won = [this](std::shared_ptr<Tenure> tenure) {
-        leader_ = std::make_shared<Leader>(io_, settings_, properties_, state_, tenure);
+        leader_ = std::make_shared<Leader>(io_, settings_, properties_, state_, metrics_, tenure);
         leader_->start();
     };
     events.lost = [this] {
@@ -83,17 +83,36 @@
     return steady_now() - heard_leader_ < kDeaf_s;
 }
 
+HttpReply Front::metrics_page() const {
+    std::map<std::string, double> gauges{{"leading", leader_ ? 1 : 0}, {"token", static_cast<double>(election_->token())}};
+    if (leader_ && leader_->ready()) leader_->gauges(gauges);
+    HttpReply reply{200, metrics_.text(gauges)};
+    reply.content_type = "text/plain; version=0.0.4";
+    return reply;
+}
+
 asio::awaitable<HttpReply> Front::handle(HttpRequest r) {
+    double started = steady_now();
+    const char* kind = "other";
+    auto reply = co_await route(std::move(r), kind);
+    metrics_.request(kind, reply.status, steady_now() - started);
+    co_return reply;
+}
+
+asio::awaitable<HttpReply> Front::route(HttpRequest r, const char*& kind) {
     auto answer = [](PeerReply reply) { return HttpReply{reply.status, std::move(reply.body), reply.retry_after_s}; };
     std::string_view path = r.target;
     path = path.substr(0, path.find('?'));
     if (path == "/v1/report") {
         if (r.method != "POST") co_return HttpReply{405, "{}"};
+        kind = "report";
         co_return co_await handle_report(std::move(r.body));
     }
+    if (path == "/metrics") co_return metrics_page();
     if (path == "/healthz") co_return healthy() ? HttpReply{200, "{}"} : HttpReply{503, "{}"};
     if (path == kRuns) {
         if (r.method != "POST") co_return HttpReply{405, "{}"};
+        kind = "submit";
         PeerCall call{PeerOp::Submit, "", std::move(r.body)};
         auto reply = co_await to_leader(std::move(call));
         co_return answer(std::move(reply));
@@ -107,6 +126,7 @@
             id.resize(id.size() - kCancel.size());
             call.op = PeerOp::Cancel;
         }
+        kind = call.op == PeerOp::Cancel ? "cancel" : "status";
         if (r.method != (call.op == PeerOp::Cancel ? "POST" : "GET")) co_return HttpReply{405, "{}"};
         call.subject = std::move(id);
         auto reply = co_await to_leader(std::move(call));
--- a/src/coordination/front.h
+++ b/src/coordination/front.h
@@ -23,6 +23,8 @@
     };
 
     boost::asio::awaitable<HttpReply> handle(HttpRequest request);
+    boost::asio::awaitable<HttpReply> route(HttpRequest request, const char*& kind);
+    HttpReply metrics_page() const;
     boost::asio::awaitable<HttpReply> handle_report(std::string body);
     boost::asio::awaitable<PeerReply> to_leader(PeerCall call);
     boost::asio::awaitable<void> ping_loop();
@@ -39,6 +41,7 @@
     std::unique_ptr<PeerServer> peers_in_;
     std::unique_ptr<HttpServer> http_;
     std::map<std::string, Relayed> relayed_;
+    Metrics metrics_;
     double heard_leader_ = 0;  // when the leader last answered this node
 };
 
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -29,12 +29,13 @@
 }  // namespace
 
 Leader::Leader(asio::io_context& io, const Settings& settings, const Properties& properties, StateClient& state,
-               std::shared_ptr<Tenure> tenure)
+               Metrics& metrics, std::shared_ptr<Tenure> tenure)
     : io_(io),
       settings_(settings),
       properties_(properties),
       state_(state),
       cloud_(io, settings.cloud, 1024 * 1024),
+      metrics_(metrics),
       tenure_(std::move(tenure)),
       mailbox_(io, kMailbox),
       tables_(settings),
@@ -71,6 +72,21 @@
     co_return is_report ? PeerReply{503, "{}"} : come_back();
 }
 
+void Leader::gauges(std::map<std::string, double>& out) const {
+    size_t up = 0, placed = 0, pending = 0;
+    for (auto& m : tables_.machines) up += m && m->up;
+    for (auto& job : tables_.jobs) {
+        if (!job) continue;
+        placed += job->placed;
+        pending += job->pending;
+    }
+    out["jobs"] = static_cast<double>(tables_.job_index.size());
+    out["machines"] = static_cast<double>(tables_.machine_index.size());
+    out["machines_up"] = static_cast<double>(up);
+    out["tasks_placed"] = static_cast<double>(placed);
+    out["tasks_pending"] = static_cast<double>(pending);
+}
+
 PeerReply Leader::come_back(int seconds) const { return {503, R"({"error":"not now"})", seconds, tenure_->token}; }
 
 void Leader::post(Message m) {
@@ -401,6 +417,7 @@
     flushing_ = false;
     if (m.result.outcome == StateOutcome::Ok) {
         state_worked_at_ = now_;
+        metrics_.count("transactions_total");
         ledger_.committed(m.batch, m.result.value);
         for (auto& e : m.batch.entries) {
             if (e.kind == EntryKind::NewJob) {
@@ -644,6 +661,7 @@
     }
     if (m.quarantined_until <= now_) {
         spdlog::info("machine: {} quarantined after failing {}", m.name, job.spec.id);
+        metrics_.count("machines_quarantined_total");
         m.quarantined_until = now_ + properties_.quarantine_s;
     }
 }
@@ -653,6 +671,7 @@
     auto& job = *tables_.jobs[j];
     spdlog::info("task: {}/{} attempt={} gone from {}", job.spec.id, t, job.tasks[t].attempt,
                  tables_.machines[job.tasks[t].machine]->name);
+    metrics_.count("tasks_lost_total");
     bool graceful = job.tasks[t].graceful;
     tables_.vacate(j, t, now_);
     dirty_ = true;
@@ -958,6 +977,7 @@
     auto& type = tables_.names.types.name(r.rental.type);
     auto& zone = tables_.names.zones.name(r.rental.zone);
     spdlog::info("cloud: rented {}/{} of {} in {} spot={}", r.names.size(), r.rental.count, type, zone, r.rental.spot);
+    metrics_.count("machines_rented_total", r.names.size());
     for (auto& name : r.names) {
         if (gone_.count(name)) continue;
         auto& m = *tables_.machines[tables_.add_machine(name, now_)];
@@ -1096,6 +1116,8 @@
     auto round = plan_preemption(tables_, [this](const Machine& m) { return usable(m); }, now_);
     if (round.clearings.empty()) return;
     ++rounds_;
+    metrics_.count("preemption_rounds_total");
+    metrics_.count("preemption_stops_total", round.stops.size());
     ledger_.note(kRoundKey, round_record(round, tables_, rounds_));
     for (auto& c : round.clearings) {
         for (auto i : c.machines) {
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "bookkeeping/ledger.h"
+#include "bookkeeping/metrics.h"
 #include "bookkeeping/state_client.h"
 #include "coordination/election.h"
 #include "coordination/placement.h"
@@ -21,7 +22,7 @@
 class Leader : public std::enable_shared_from_this<Leader> {
   public:
     Leader(boost::asio::io_context& io, const Settings& settings, const Properties& properties, StateClient& state,
-           std::shared_ptr<Tenure> tenure);
+           Metrics& metrics, std::shared_ptr<Tenure> tenure);
     void start();
     // The tenure is over: nothing is answered or sent any more.
     void stop();
@@ -29,6 +30,7 @@
     bool ready() const { return ready_; }
     bool sure(double now) const { return !tenure_->ended && now < tenure_->sure_until; }
     uint64_t token() const { return tenure_->token; }
+    void gauges(std::map<std::string, double>& out) const;
 
     // What users and workers ask for, from this node's own door or over the peer link.
     boost::asio::awaitable<PeerReply> ask(PeerCall call);
@@ -139,6 +141,7 @@
     const Properties& properties_;
     StateClient& state_;
     HttpClient cloud_;
+    Metrics& metrics_;
     std::shared_ptr<Tenure> tenure_;
     Mailbox mailbox_;
     Tables tables_;
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -154,9 +154,14 @@
         {"DELETE", "/v2/runs", "", 405},
         {"GET", "/elsewhere", "", 404},
         {"GET", "/healthz", "", 200},
+        {"GET", "/metrics", "", 200},
     };
     for (auto& row : rows) EXPECT_EQ(s.ask(row.method, row.target, row.body).status, row.status) << row.target << " " << row.body.substr(0, 80);
     EXPECT_EQ(s.status("req-1"), "done");
+    auto metrics = s.ask("GET", "/metrics").body;
+    for (const char* line : {"weirmill_requests_total{kind=\"submit\",status=\"201\"} 2\n", "weirmill_leading 1\n",
+                             "weirmill_request_seconds_bucket{kind=\"cancel\",le=\"+Inf\"} 2\n"})
+        EXPECT_NE(metrics.find(line), std::string::npos) << line << metrics;
     EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
 }
 
