--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -848,6 +848,7 @@
 }
 
 void Leader::check_machines() {
+    if (now_ > tenure_->sure_until + answering_grace(settings_)) deaf_at_ = now_;
     for (Index i = 0; i < tables_.machines.size(); ++i) {
         auto* m = tables_.machines[i].get();
         if (!m) continue;
@@ -856,11 +857,15 @@
         if (expired && m->up) {
             machine_gone(i, "its lease ran out");
             m->up = false;
-            m->doomed = true;
             m->saw_token = false;
-            // A report of the old session may be under way still.
             continue;
         }
+        // Not heard of for a whole lease during which it could have been: it is given back. After an outage in
+        // which this leader itself fell silent, the machines are sound and will report again.
+        if (!m->up && m->up_at > 0 && !m->doomed && now_ - std::max({m->last_report, deaf_at_, tenure_->won}) > settings_.lease_s) {
+            spdlog::info("machine: {} not heard of for a lease, returned", m->name);
+            m->doomed = true;
+        }
         if (expired && !m->up && !m->tasks.empty()) machine_gone(i, "not heard of since the change of leader");
         if (!m->up && m->tasks.empty() && !m->returning) {
             bool lost = m->listed ? m->missing && now_ - m->missing_since > 2 * settings_.list_lag_s + 2
