--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -106,7 +106,7 @@
     if (path == "/v1/report") {
         if (r.method != "POST") co_return HttpReply{405, "{}"};
         kind = "report";
-        co_return co_await handle_report(std::move(r.body));
+        co_return co_await handle_report(std::move(r));
     }
     if (path == "/metrics") co_return metrics_page();
     if (path == "/healthz") co_return healthy() ? HttpReply{200, "{}"} : HttpReply{503, "{}"};
@@ -135,17 +135,18 @@
     co_return HttpReply{404, "{}"};
 }
 
-asio::awaitable<HttpReply> Front::handle_report(std::string body) {
+// For a report, a call's subject is where it came from.
+asio::awaitable<HttpReply> Front::handle_report(HttpRequest r) {
     if (auto leader = leader_) {
-        PeerCall call{PeerOp::Report, "", std::move(body)};
+        PeerCall call{PeerOp::Report, std::move(r.from), std::move(r.body)};
         auto reply = co_await leader->ask(std::move(call));
         co_return HttpReply{reply.status, std::move(reply.body)};
     }
     ReportHead head;
     try {
-        head = parse_report_head(body);
+        head = parse_report_head(r.body);
     } catch (const BadMessage& e) {
-        spdlog::error("worker: malformed report refused: {}", e.what());
+        spdlog::error("worker: malformed report from {} refused: {}", r.from, e.what());
         co_return HttpReply{400, "{}"};
     }
     if (!leader_link()) co_return HttpReply{421, redirect_answer("")};
@@ -163,7 +164,7 @@
         relay = true;
     }
     if (relay) {
-        PeerCall call{PeerOp::Report, "", std::move(body)};
+        PeerCall call{PeerOp::Report, std::move(r.from), std::move(r.body)};
         auto reply = co_await to_leader(std::move(call));
         // An answer of an older leader than the worker knows would be dropped, and its lease run out here.
         if (reply.status == 200 && reply.token >= head.token) co_return HttpReply{200, std::move(reply.body)};
--- a/src/coordination/front.h
+++ b/src/coordination/front.h
@@ -25,7 +25,7 @@
     boost::asio::awaitable<HttpReply> handle(HttpRequest request);
     boost::asio::awaitable<HttpReply> route(HttpRequest request, const char*& kind);
     HttpReply metrics_page() const;
-    boost::asio::awaitable<HttpReply> handle_report(std::string body);
+    boost::asio::awaitable<HttpReply> handle_report(HttpRequest request);
     boost::asio::awaitable<PeerReply> to_leader(PeerCall call);
     boost::asio::awaitable<void> ping_loop();
     bool healthy() const;
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -503,7 +503,7 @@
     try {
         r = parse_report(call.body);
     } catch (const BadMessage& e) {
-        spdlog::error("worker: malformed report refused: {}", e.what());
+        spdlog::error("worker: malformed report from {} refused: {}", call.subject, e.what());
         return reply.set({400, "{}"});
     }
     if (gone_.count(r.machine)) return reply.set({503, "{}"});
@@ -1082,17 +1082,17 @@
             if (stopped_) co_return;
             if (answer && answer->status == 200) {
                 try {
-                    post(Rented{r, false, parse_rented(answer->body)});
+                    post(Rented{r, parse_rented(answer->body)});
                     break;
                 } catch (const BadMessage& e) {
                     spdlog::error("cloud: malformed answer to a rental: {}", e.what());
                 }
             } else if (answer && answer->status == 503 && answer->body.find("capacity") != std::string::npos) {
-                post(Rented{r, true, {}});
+                post(Rented{r, {}});
                 break;
             } else if (answer && answer->status == 400) {
                 spdlog::error("cloud: rental refused as malformed: {}", body);
-                post(Rented{r, true, {}});
+                post(Rented{r, {}});
                 break;
             }
             // No answer or trouble: the same request again, as its name rents once.
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -60,7 +60,6 @@
     };
     struct Rented {
         Rental rental;
-        bool refused = false;
         std::vector<std::string> names;
     };
     struct RentPassDone {};
@@ -117,7 +116,7 @@
     void stop_task(Index job, uint32_t task, bool graceful);
     void drain(Index machine, double notice_s);
     void answer_report(Index machine, Held& held);
-    void release_held(bool all_due);
+    void release_held(bool due_only);
     bool unsettled(const Machine& m) const;
     void machine_gone(Index machine, const char* why);
     void check_machines();
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -60,6 +60,8 @@
     } leave{connections_};
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
+    auto peer = socket.remote_endpoint(ignored);
+    std::string from = ignored ? "?" : peer.address().to_string() + ":" + std::to_string(peer.port());
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer(kMaxBody + 16 * 1024);
     for (;;) {
@@ -89,7 +91,7 @@
             keep = request.keep_alive();
             version = request.version();
             HttpRequest in{std::string(request.method_string()), std::string(request.target()),
-                           std::move(request.body())};
+                           std::move(request.body()), from};
             stream.expires_never();
             try {
                 reply = co_await handler_(std::move(in));
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -12,6 +12,7 @@
 
 struct HttpRequest {
     std::string method, target, body;
+    std::string from;  // the other end
 };
 
 struct HttpReply {
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -179,6 +179,34 @@
     EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
 }
 
+TEST(Service, AFollowerRelaysForAWorkerThatCannotReachTheLeader) {
+    Service s(2);
+    EXPECT_EQ(s.submit("req-1", "array", 1, {3.0}), 201);
+    ASSERT_TRUE(s.until([&] { return s.cloud->on_some_machine("req-1"); }));
+    int leader = s.leader().back() - '0';
+    for (auto& [n, w] : s.cloud->workers) w->cut_from = leader;
+    EXPECT_TRUE(s.done("req-1"));
+    auto page = s.ask_node(1 - leader, "GET", "/metrics", "");
+    ASSERT_TRUE(page);
+    EXPECT_NE(page->body.find("weirmill_requests_total{kind=\"report\",status=\"200\"}"), std::string::npos) << page->body;
+    EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
+}
+
+TEST(Service, AJobThatFailsEverywhereStaysAcceptedAndDoesNotEatTheFleet) {
+    Service s(1);
+    standin::Job bad;
+    bad.fails = true;
+    bad.run_s = 0.01;
+    EXPECT_EQ(s.submit("req-1", "array", 2, bad), 201);
+    ASSERT_TRUE(s.until([&] { return s.cloud->starts["req-1/0"] >= 2 || s.cloud->starts["req-1/1"] >= 2; }));
+    EXPECT_EQ(s.submit("req-2", "array", 4), 201);
+    EXPECT_TRUE(s.done("req-2"));
+    EXPECT_NE(s.status("req-1"), "done");
+    EXPECT_EQ(s.ask("GET", "/v2/runs/req-1").status, 200);
+    EXPECT_LE(s.cloud->workers.size(), 12u);
+    EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
+}
+
 TEST(Service, ATransactionWhoseAnswerIsLostIsNotAppliedTwiceNorForgotten) {
     Service s(1);
     EXPECT_EQ(s.submit("req-1", "array", 1), 201);
--- a/tests/standin/standins.cpp
+++ b/tests/standin/standins.cpp
@@ -214,6 +214,7 @@
         co_await sleep_s(cloud_.settings.report_s);
         step();
         if (dead_ || silent || cloud_.nodes.empty()) continue;
+        if (cut_from >= 0 && static_cast<size_t>(cut_from) == node % cloud_.nodes.size()) ++node;
         double sent = steady_now();
         uint64_t session = session_;
         HttpClient client(io_, cloud_.nodes[node % cloud_.nodes.size()], 1024 * 1024);
--- a/tests/standin/standins.h
+++ b/tests/standin/standins.h
@@ -65,6 +65,7 @@
     void start();
     void kill() { dead_ = true, tasks_.clear(); }
     bool dead() const { return dead_; }
+    int cut_from = -1;    // the controller that it can't reach
     bool silent = false;  // its packets are lost; its tasks run on, until its lease ends
     const std::string name, type, zone;
     const bool spot;
