--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -13,7 +13,9 @@
 }
 
 std::string job_key(const std::string& id) { return "j/" + id; }
-std::string chunk_key(const std::string& id, uint32_t chunk) { return "t/" + id + "/" + std::to_string(chunk); }
+std::string chunk_key(const std::string& id, uint32_t chunk) {
+    return "t/" + id + "/" + std::to_string(chunk);
+}
 std::string final_key(const std::string& id) { return "f/" + id; }
 
 std::string job_record(const Job& job, const Names& names, bool cancelled) {
@@ -172,8 +174,12 @@
     for (auto& e : batch.entries) {
         Job* job = e.job == kNone ? nullptr : tables_.jobs[e.job].get();
         switch (e.kind) {
-            case EntryKind::Cancel: job->cancel_recorded = true; [[fallthrough]];
-            case EntryKind::NewJob: job->version = revision; break;
+            case EntryKind::Cancel:
+                job->cancel_recorded = true;
+                [[fallthrough]];
+            case EntryKind::NewJob:
+                job->version = revision;
+                break;
             case EntryKind::Finish:
                 for (uint32_t c = e.chunk; c < job->chunks.size(); ++c)
                     if (job->chunks[c].version) sweep(chunk_key(job->spec.id, c), job->chunks[c].version);
@@ -182,8 +188,11 @@
                 job->chunks[e.chunk].version = revision;
                 job->chunks[e.chunk].committed = e.change;
                 break;
-            case EntryKind::Note: notes_[e.key].version = revision; break;
-            case EntryKind::Sweep: break;
+            case EntryKind::Note:
+                notes_[e.key].version = revision;
+                break;
+            case EntryKind::Sweep:
+                break;
         }
     }
 }
@@ -192,9 +201,14 @@
     for (auto it = batch.entries.rbegin(); it != batch.entries.rend(); ++it) {
         auto& e = *it;
         switch (e.kind) {
-            case EntryKind::NewJob: break;
-            case EntryKind::Cancel: cancels_.push_front(e.job); break;
-            case EntryKind::Finish: finishes_.push_front(e.job); break;
+            case EntryKind::NewJob:
+                break;
+            case EntryKind::Cancel:
+                cancels_.push_front(e.job);
+                break;
+            case EntryKind::Finish:
+                finishes_.push_front(e.job);
+                break;
             case EntryKind::Chunk: {
                 auto& chunk = tables_.jobs[e.job]->chunks[e.chunk];
                 if (!chunk.queued) {
--- a/src/bookkeeping/metrics.cpp
+++ b/src/bookkeeping/metrics.cpp
@@ -31,15 +31,18 @@
         double below = 0;
         for (size_t i = 0; i + 1 < kBounds.size(); ++i) {
             below += static_cast<double>(k.seconds.at(static_cast<int>(i)));
-            fmt::format_to(to, "weirmill_request_seconds_bucket{{kind=\"{}\",le=\"{}\"}} {}\n", kind, kBounds[i + 1], below);
+            fmt::format_to(to, "weirmill_request_seconds_bucket{{kind=\"{}\",le=\"{}\"}} {}\n", kind,
+                           kBounds[i + 1], below);
         }
         double all = below + static_cast<double>(k.seconds.at(static_cast<int>(kBounds.size()) - 1));
         fmt::format_to(to, "weirmill_request_seconds_bucket{{kind=\"{}\",le=\"+Inf\"}} {}\n", kind, all);
         fmt::format_to(to, "weirmill_request_seconds_sum{{kind=\"{}\"}} {}\n", kind, k.sum);
         fmt::format_to(to, "weirmill_request_seconds_count{{kind=\"{}\"}} {}\n", kind, all);
     }
-    for (auto& [name, n] : counts_) fmt::format_to(to, "# TYPE weirmill_{0} counter\nweirmill_{0} {1}\n", name, n);
-    for (auto& [name, v] : gauges) fmt::format_to(to, "# TYPE weirmill_{0} gauge\nweirmill_{0} {1}\n", name, v);
+    for (auto& [name, n] : counts_)
+        fmt::format_to(to, "# TYPE weirmill_{0} counter\nweirmill_{0} {1}\n", name, n);
+    for (auto& [name, v] : gauges)
+        fmt::format_to(to, "# TYPE weirmill_{0} gauge\nweirmill_{0} {1}\n", name, v);
     return out;
 }
 
--- a/src/bookkeeping/state_client.cpp
+++ b/src/bookkeeping/state_client.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include "protocol/paths.h"
+
 namespace weirmill {
 
 namespace asio = boost::asio;
@@ -27,11 +29,16 @@
                 out.failed = parse_failed(answer->body);
                 out.outcome = StateOutcome::Conflict;
                 break;
-            case 404: out.outcome = StateOutcome::Missing; break;
+            case 404:
+                out.outcome = StateOutcome::Missing;
+                break;
             case 429:
-            case 503: out.outcome = StateOutcome::Refused; break;
+            case 503:
+                out.outcome = StateOutcome::Refused;
+                break;
             default:
-                spdlog::error("state: {} {} answered {}: {}", method, target, answer->status, answer->body.substr(0, 200));
+                spdlog::error("state: {} {} answered {}: {}", method, target, answer->status,
+                              answer->body.substr(0, 200));
                 out.outcome = StateOutcome::Invalid;
         }
     } catch (const BadMessage& e) {
@@ -45,26 +52,29 @@
     return ask(calls_, "GET", state_key_target(key), "", timeout_s, parse_state_item);
 }
 
-asio::awaitable<StateResult<StatePage>> StateClient::list(std::string prefix, std::string after, int limit, double timeout_s) {
+asio::awaitable<StateResult<StatePage>> StateClient::list(std::string prefix, std::string after, int limit,
+                                                          double timeout_s) {
     return ask(calls_, "GET", state_list_target(prefix, after, limit), "", timeout_s, parse_state_page);
 }
 
 asio::awaitable<StateResult<uint64_t>> StateClient::txn(StateTxn t, double timeout_s) {
-    return ask(calls_, "POST", "/multi", txn_json(t), timeout_s, parse_revision);
+    return ask(calls_, "POST", paths::kTxn, txn_json(t), timeout_s, parse_revision);
 }
 
 asio::awaitable<StateResult<uint64_t>> StateClient::grant(double ttl_s, double timeout_s) {
-    return ask(leases_, "POST", "/leases", lease_json(static_cast<int64_t>(ttl_s * 1000)), timeout_s, parse_lease);
+    return ask(leases_, "POST", paths::kLeases, lease_json(static_cast<int64_t>(ttl_s * 1000)), timeout_s,
+               parse_lease);
 }
 
 asio::awaitable<StateResult<bool>> StateClient::renew(uint64_t lease, double timeout_s) {
-    return ask(leases_, "POST", "/leases/" + std::to_string(lease) + "/renew", "", timeout_s,
+    return ask(leases_, "POST", fmt::format("{}/{}{}", paths::kLeases, lease, paths::kRenew), "", timeout_s,
                [](std::string_view) { return true; });
 }
 
-asio::awaitable<StateResult<StateWatch>> StateClient::watch(std::string prefix, uint64_t after, double wait_s) {
-    return ask(watches_, "GET", state_watch_target(prefix, after, static_cast<int>(wait_s * 1000)), "", wait_s + 3,
-               parse_watch);
+asio::awaitable<StateResult<StateWatch>> StateClient::watch(std::string prefix, uint64_t after,
+                                                            double wait_s) {
+    return ask(watches_, "GET", state_watch_target(prefix, after, static_cast<int>(wait_s * 1000)), "",
+               wait_s + 3, parse_watch);
 }
 
 }  // namespace weirmill
--- a/src/bookkeeping/state_client.h
+++ b/src/bookkeeping/state_client.h
@@ -46,7 +46,8 @@
     StateClient(boost::asio::io_context& io, const Settings& settings);
 
     boost::asio::awaitable<StateResult<StateItem>> get(std::string key, double timeout_s);
-    boost::asio::awaitable<StateResult<StatePage>> list(std::string prefix, std::string after, int limit, double timeout_s);
+    boost::asio::awaitable<StateResult<StatePage>> list(std::string prefix, std::string after, int limit,
+                                                        double timeout_s);
     boost::asio::awaitable<StateResult<uint64_t>> txn(StateTxn txn, double timeout_s);
     boost::asio::awaitable<StateResult<uint64_t>> grant(double ttl_s, double timeout_s);
     boost::asio::awaitable<StateResult<bool>> renew(uint64_t lease, double timeout_s);
--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -23,7 +23,8 @@
         auto index = names.classes.intern(o.job_class);
         if (classes.size() <= index) classes.resize(index + 1);
         auto& c = classes[index];
-        if (o.kind == "wait") c.start_within_s = c.start_within_s > 0 ? std::min(c.start_within_s, o.within_s) : o.within_s;
+        if (o.kind == "wait")
+            c.start_within_s = c.start_within_s > 0 ? std::min(c.start_within_s, o.within_s) : o.within_s;
         if (o.kind == "finished") c.done_within_s.push_back(o.within_s);
         std::sort(c.done_within_s.begin(), c.done_within_s.end());
     }
@@ -280,7 +281,8 @@
 
 bool Tables::type_fits(const JobSpec& spec, Index type) const {
     if (type >= types.size() || !types[type].offered) return false;
-    if (!spec.types.empty() && std::find(spec.types.begin(), spec.types.end(), type) == spec.types.end()) return false;
+    if (!spec.types.empty() && std::find(spec.types.begin(), spec.types.end(), type) == spec.types.end())
+        return false;
     return spec.need.fits_in(types[type].type.size);
 }
 
@@ -298,7 +300,9 @@
 
 bool Tables::below_limit(const Team& team, const Resources& use) const { return under(team.limit, use); }
 
-bool Tables::within_limit(const Team& team, const Resources& extra) const { return below_limit(team, team.used + extra); }
+bool Tables::within_limit(const Team& team, const Resources& extra) const {
+    return below_limit(team, team.used + extra);
+}
 
 bool Tables::within_guarantee(const Team& team, const Resources& extra) const {
     auto use = team.used + extra;
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -16,10 +16,10 @@
 
 struct Task {
     uint32_t attempt = 0;
-    Index machine = kNone;    // while Placed: the task may be there until proven gone
-    uint32_t session = 0;     // of that machine, when it was placed
-    uint32_t change = 0;      // the chunk's change number at this task's last change
-    uint64_t start_seq = 0;   // the report answered with its start, 0: none yet
+    Index machine = kNone;   // while Placed: the task may be there until proven gone
+    uint32_t session = 0;    // of that machine, when it was placed
+    uint32_t change = 0;     // the chunk's change number at this task's last change
+    uint64_t start_seq = 0;  // the report answered with its start, 0: none yet
     float placed_at = 0, running_at = 0;
     TaskState state = TaskState::Pending;
     TaskPhase phase = TaskPhase::Unseen;
@@ -42,7 +42,7 @@
     uint64_t version = 0;  // of its key, 0: not recorded yet
     bool cancelled = false;
     bool cancel_recorded = false;  // and so may be told
-    bool ending = false;  // its end is queued to be recorded
+    bool ending = false;           // its end is queued to be recorded
     std::vector<Task> tasks;
     std::vector<Chunk> chunks;
     uint32_t pending = 0, placed = 0, done = 0, running = 0;
@@ -111,9 +111,9 @@
 
 // What is asked for a class of jobs, and what its finished tasks taught about its owners' estimates.
 struct JobClass {
-    double start_within_s = 0;          // 0: nothing is asked
-    std::vector<double> done_within_s;  // shortest first
-    double bias = 1, learnt = 0;        // run time over estimate; weight of the evidence
+    double start_within_s = 0;                         // 0: nothing is asked
+    std::vector<double> done_within_s;                 // shortest first
+    double bias = 1, learnt = 0;                       // run time over estimate; weight of the evidence
     std::deque<std::pair<double, uint32_t>> arrivals;  // of recent jobs: when, how many tasks
     JobSpec last;                                      // the newest of them
 };
@@ -137,7 +137,7 @@
     std::vector<std::unique_ptr<Job>> jobs;          // by job index; null: free
     std::vector<std::unique_ptr<Machine>> machines;  // by machine index; null: free
     std::unordered_map<std::string, Index> job_index, machine_index;
-    std::vector<JobClass> classes;  // by class index
+    std::vector<JobClass> classes;                     // by class index
     std::vector<std::pair<double, Refusal>> refusals;  // until when not to ask again
     uint32_t chunk_tasks;                              // tasks in a chunk
     size_t task_count = 0, max_tasks;                  // over all jobs; what memory allows
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -20,16 +20,16 @@
 }
 }  // namespace
 
-Election::Election(asio::io_context& io, const Settings& settings, const Properties& properties, StateClient& state,
-                   Events events)
-    : io_(io), settings_(settings), lease_s_(properties.election_lease_s), state_(state), events_(std::move(events)) {
+Election::Election(asio::io_context& io, const Settings& settings, const Properties& properties,
+                   StateClient& state, Events events)
+    : io_(io),
+      settings_(settings),
+      lease_s_(properties.election_lease_s),
+      state_(state),
+      events_(std::move(events)) {
     asio::co_spawn(io, run(), asio::detached);
 }
 
-void Election::resign() {
-    if (tenure_) tenure_->ended = true;
-}
-
 void Election::learn(const std::string& leader, uint64_t token) {
     if (leader != leader_ || token != token_)
         spdlog::info("election: leader={} token={}", leader.empty() ? "none" : leader, token);
@@ -46,23 +46,17 @@
             continue;
         }
         pause = 0;
+        if (!tenure_ && leader_.empty()) {
+            co_await campaign();
+            pause = unsure_lease_ ? 0 : jitter(0.05, 0.25);
+        }
         if (tenure_) {
             co_await hold();
             events_.lost();
             learn("", 0);
             tenure_.reset();
             pause = jitter(0.2, 0.6);
-        } else if (leader_.empty()) {
-            co_await campaign();
-            pause = tenure_ || unsure_lease_ ? 0 : jitter(0.05, 0.25);
-            if (tenure_) {
-                co_await hold();
-                events_.lost();
-                learn("", 0);
-                tenure_.reset();
-                pause = jitter(0.2, 0.6);
-            }
-        } else {
+        } else if (!leader_.empty()) {
             auto watched = co_await state_.watch(kLeaderKey, revision_, 10);
             if (watched)
                 revision_ = std::max(revision_, watched.value.revision);
--- a/src/coordination/election.h
+++ b/src/coordination/election.h
@@ -46,8 +46,8 @@
     return last_answer + s.lease_s * (1 + 2 * kDrift) + 4 * kMargin_s;
 }
 
-// When all that may be on a machine is surely gone, unless it reports again. A report that waits for its answer
-// counts like an answered one: a machine used to be taken for gone while its first report was held.
+// When all that may be on a machine is surely gone, unless it reports again. A report that waits for its
+// answer counts like an answered one: a machine used to be taken for gone while its first report was held.
 inline double lease_end(const Settings& s, const Machine& m, double won) {
     double heard = std::max(m.last_answer, m.last_report);
     double end = heard > 0 ? answered_expiry(s, heard) : 0;
@@ -60,14 +60,12 @@
         std::function<void(std::shared_ptr<Tenure>)> won;
         std::function<void()> lost;
     };
-    Election(boost::asio::io_context& io, const Settings& settings, const Properties& properties, StateClient& state,
-             Events events);
+    Election(boost::asio::io_context& io, const Settings& settings, const Properties& properties,
+             StateClient& state, Events events);
 
     // Who leads as far as this node knows; empty: nobody.
     const std::string& leader() const { return leader_; }
     uint64_t token() const { return token_; }
-    // The leader found out by itself that its leadership is over.
-    void resign();
 
   private:
     boost::asio::awaitable<void> run();
--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio.hpp>
 
+#include "protocol/paths.h"
 #include "protocol/worker_codec.h"
 
 namespace weirmill {
@@ -15,7 +16,6 @@
 constexpr double kPing_s = 1.5;
 constexpr double kDeaf_s = 6;  // a follower this long without its leader sends users elsewhere
 constexpr size_t kMaxRelayed = 10000;
-constexpr std::string_view kRuns = "/v2/runs";
 
 // Arguments of awaited calls are named variables throughout: GCC 12 destroys aggregates that are written
 // in place inside a co_await expression twice.
@@ -35,15 +35,17 @@
         heard_leader_ = steady_now();
     };
     election_ = std::make_unique<Election>(io, settings_, properties_, state_, std::move(events));
-    peers_in_ = std::make_unique<PeerServer>(io, settings.peer, [this](PeerCall call) -> asio::awaitable<PeerReply> {
-        if (auto leader = leader_) co_return co_await leader->ask(std::move(call));
-        co_return PeerReply{503, "{}", 1, 0};
-    });
+    peers_in_ =
+        std::make_unique<PeerServer>(io, settings.peer, [this](PeerCall call) -> asio::awaitable<PeerReply> {
+            if (auto leader = leader_) co_return co_await leader->ask(std::move(call));
+            co_return PeerReply{503, "{}", 1, 0};
+        });
     // Some sockets are kept for the state service, the cloud, workers and peers.
     http_ = std::make_unique<HttpServer>(io, settings.api, std::max(16, settings.max_sockets - 64),
                                          [this](HttpRequest r) { return handle(std::move(r)); });
     asio::co_spawn(io, ping_loop(), asio::detached);
-    spdlog::info("node: {} in {} serving {} peers={}", settings.name, settings.zone, settings.api.text(), settings.peers.size());
+    spdlog::info("node: {} in {} serving {} peers={}", settings.name, settings.zone, settings.api.text(),
+                 settings.peers.size());
 }
 
 PeerClient* Front::leader_link() {
@@ -84,7 +86,8 @@
 }
 
 HttpReply Front::metrics_page() const {
-    std::map<std::string, double> gauges{{"leading", leader_ ? 1 : 0}, {"token", static_cast<double>(election_->token())}};
+    std::map<std::string, double> gauges{{"leading", leader_ ? 1 : 0},
+                                         {"token", static_cast<double>(election_->token())}};
     if (leader_ && leader_->ready()) leader_->gauges(gauges);
     HttpReply reply{200, metrics_.text(gauges)};
     reply.content_type = "text/plain; version=0.0.4";
@@ -100,30 +103,32 @@
 }
 
 asio::awaitable<HttpReply> Front::route(HttpRequest r, const char*& kind) {
-    auto answer = [](PeerReply reply) { return HttpReply{reply.status, std::move(reply.body), reply.retry_after_s}; };
+    auto answer = [](PeerReply reply) {
+        return HttpReply{reply.status, std::move(reply.body), reply.retry_after_s};
+    };
     std::string_view path = r.target;
     path = path.substr(0, path.find('?'));
-    if (path == "/v1/report") {
+    if (path == paths::kReport) {
         if (r.method != "POST") co_return HttpReply{405, "{}"};
         kind = "report";
         co_return co_await handle_report(std::move(r));
     }
-    if (path == "/metrics") co_return metrics_page();
-    if (path == "/healthz") co_return healthy() ? HttpReply{200, "{}"} : HttpReply{503, "{}"};
-    if (path == kRuns) {
+    if (path == paths::kMetrics) co_return metrics_page();
+    if (path == paths::kHealth) co_return healthy() ? HttpReply{200, "{}"} : HttpReply{503, "{}"};
+    if (path == paths::kJobs) {
         if (r.method != "POST") co_return HttpReply{405, "{}"};
         kind = "submit";
         PeerCall call{PeerOp::Submit, "", std::move(r.body)};
         auto reply = co_await to_leader(std::move(call));
         co_return answer(std::move(reply));
     }
-    if (path.size() > kRuns.size() + 1 && path.substr(0, kRuns.size()) == kRuns && path[kRuns.size()] == '/') {
-        std::string id(path.substr(kRuns.size() + 1));
+    if (path.size() > paths::kJobs.size() + 1 && path.substr(0, paths::kJobs.size()) == paths::kJobs &&
+        path[paths::kJobs.size()] == '/') {
+        std::string id(path.substr(paths::kJobs.size() + 1));
         PeerCall call;
         call.op = PeerOp::Status;
-        constexpr std::string_view kCancel = "/cancel";
-        if (id.size() > kCancel.size() && id.ends_with(kCancel)) {
-            id.resize(id.size() - kCancel.size());
+        if (id.size() > paths::kCancel.size() && id.ends_with(paths::kCancel)) {
+            id.resize(id.size() - paths::kCancel.size());
             call.op = PeerOp::Cancel;
         }
         kind = call.op == PeerOp::Cancel ? "cancel" : "status";
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 
 #include "protocol/cloud_codec.h"
+#include "protocol/paths.h"
 #include "protocol/user_codec.h"
 #include "protocol/worker_codec.h"
 
@@ -15,9 +16,9 @@
 namespace {
 
 constexpr size_t kMailbox = 4096;
-constexpr size_t kMaxFinals = 20000;   // final states kept in memory; the rest are read through
+constexpr size_t kMaxFinals = 20000;  // final states kept in memory; the rest are read through
 constexpr size_t kMaxStrays = 2000;
-constexpr double kHold_s = 0.35;       // a report waits this long for records at most
+constexpr double kHold_s = 0.35;  // a report waits this long for records at most
 constexpr double kAsk_s = 2.0;
 constexpr double kClosingPause_s = 4;  // one machine at a time: its tasks must find their places first
 constexpr double kCall_s = 1.5;
@@ -28,8 +29,8 @@
 
 }  // namespace
 
-Leader::Leader(asio::io_context& io, const Settings& settings, const Properties& properties, StateClient& state,
-               Metrics& metrics, std::shared_ptr<Tenure> tenure)
+Leader::Leader(asio::io_context& io, const Settings& settings, const Properties& properties,
+               StateClient& state, Metrics& metrics, std::shared_ptr<Tenure> tenure)
     : io_(io),
       settings_(settings),
       properties_(properties),
@@ -87,7 +88,9 @@
     out["tasks_pending"] = static_cast<double>(pending);
 }
 
-PeerReply Leader::come_back(int seconds) const { return {503, R"({"error":"not now"})", seconds, tenure_->token}; }
+PeerReply Leader::come_back(int seconds) const {
+    return {503, R"({"error":"not now"})", seconds, tenure_->token};
+}
 
 void Leader::post(Message m) {
     if (stopped_) return;
@@ -134,7 +137,8 @@
             auto page = co_await state_.list(prefix, after, 200, 3);
             if (stopped_) co_return false;
             if (!page) {
-                if (page.outcome == StateOutcome::Unknown) spdlog::info("leader: loading waits for the state service");
+                if (page.outcome == StateOutcome::Unknown)
+                    spdlog::info("leader: loading waits for the state service");
                 co_return false;
             }
             more = page.value.more && !page.value.items.empty();
@@ -193,17 +197,24 @@
 
 void Leader::handle(Asked& m) {
     switch (m.call.op) {
-        case PeerOp::Submit: return submit(m.call, m.reply);
-        case PeerOp::Status: return status(m.call, m.reply);
-        case PeerOp::Cancel: return cancel(m.call, m.reply);
-        case PeerOp::Report: return report(m.call, m.reply);
-        case PeerOp::Ping: return m.reply.set({sure(now_) ? 200 : 503, "", 0, tenure_->token});
+        case PeerOp::Submit:
+            return submit(m.call, m.reply);
+        case PeerOp::Status:
+            return status(m.call, m.reply);
+        case PeerOp::Cancel:
+            return cancel(m.call, m.reply);
+        case PeerOp::Report:
+            return report(m.call, m.reply);
+        case PeerOp::Ping:
+            return m.reply.set({sure(now_) ? 200 : 503, "", 0, tenure_->token});
     }
     m.reply.set({400, "{}"});
 }
 
 // Nothing is told before it is recorded.
-bool Leader::may_tell(const Job& job) const { return job.version != 0 && job.cancelled == job.cancel_recorded; }
+bool Leader::may_tell(const Job& job) const {
+    return job.version != 0 && job.cancelled == job.cancel_recorded;
+}
 
 // The last word from the state service was a failure: neither a transaction nor a renewal has worked since.
 bool Leader::state_down() const {
@@ -255,7 +266,8 @@
         waiters_[spec.id].emplace_back(PeerOp::Submit, reply);
         return;
     }
-    if (auto it = finals_.find(spec.id); it != finals_.end()) return reply.set(final_reply(spec.id, it->second, PeerOp::Submit));
+    if (auto it = finals_.find(spec.id); it != finals_.end())
+        return reply.set(final_reply(spec.id, it->second, PeerOp::Submit));
     if (!tables_.types_known) return reply.set(come_back(2));
     const char* never = nullptr;
     if (spec.team == kNone) {
@@ -270,8 +282,10 @@
         }
         auto all = spec.kind == JobKind::Array ? spec.need : spec.need * spec.tasks;
         auto& limit = tables_.teams[spec.team].limit;
-        if (!fits || !zone_ok) never = "a task fits no allowed machine type";
-        else if ((limit.cpu && all.cpu > limit.cpu) || (limit.gpu && all.gpu > limit.gpu)) never = "more than the team's limit";
+        if (!fits || !zone_ok)
+            never = "a task fits no allowed machine type";
+        else if ((limit.cpu && all.cpu > limit.cpu) || (limit.gpu && all.gpu > limit.gpu))
+            never = "more than the team's limit";
     }
     if (never) {
         // It may have been accepted when more was on offer: its final state, if any, is the answer.
@@ -324,7 +338,8 @@
     ledger_.cancel(it->second);
 }
 
-asio::awaitable<void> Leader::read_final(std::shared_ptr<Leader> self, PeerCall call, Reply reply, int refusal) {
+asio::awaitable<void> Leader::read_final(std::shared_ptr<Leader> self, PeerCall call, Reply reply,
+                                         int refusal) {
     auto result = co_await state_.get(final_key(call.subject), 1.2);
     self->post(FinalRead{std::move(call), reply, std::move(result), refusal});
 }
@@ -370,9 +385,12 @@
         auto result = co_await state_.txn(batch.txn, 1.0);
         if (stopped_) co_return;
         if (result.outcome == StateOutcome::Conflict && unsure) {
-            bool deposed = std::find(result.failed.begin(), result.failed.end(), kLeaderKey) != result.failed.end();
-            // The copy without an answer may have been applied: then its keys say so. Nobody else may write them.
-            auto write = std::find_if(batch.txn.changes.begin(), batch.txn.changes.end(), [](auto& c) { return !c.value.empty(); });
+            bool deposed =
+                std::find(result.failed.begin(), result.failed.end(), kLeaderKey) != result.failed.end();
+            // The copy without an answer may have been applied: then its keys say so. Nobody else may write
+            // them.
+            auto write = std::find_if(batch.txn.changes.begin(), batch.txn.changes.end(),
+                                      [](auto& c) { return !c.value.empty(); });
             if (!deposed && write != batch.txn.changes.end()) {
                 auto item = co_await state_.get(write->key, 1.0);
                 if (stopped_) co_return;
@@ -441,7 +459,8 @@
         release_held(false);
         return;
     }
-    bool deposed = std::find(m.result.failed.begin(), m.result.failed.end(), kLeaderKey) != m.result.failed.end();
+    bool deposed =
+        std::find(m.result.failed.begin(), m.result.failed.end(), kLeaderKey) != m.result.failed.end();
     if (deposed) {
         spdlog::info("leader: deposed, a transaction found another leader");
         tenure_->ended = true;
@@ -464,10 +483,12 @@
             waiters_.erase(id);
             tables_.remove_job(e.job);
             for (auto& [op, reply] : waiting)
-                asio::co_spawn(io_, read_final(shared_from_this(), PeerCall{op, id, ""}, reply, 404), asio::detached);
+                asio::co_spawn(io_, read_final(shared_from_this(), PeerCall{op, id, ""}, reply, 404),
+                               asio::detached);
         }
         if (explained != m.result.failed.size()) {
-            spdlog::error("leader: records differ from the tables at {}: starting over", m.result.failed.front());
+            spdlog::error("leader: records differ from the tables at {}: starting over",
+                          m.result.failed.front());
             tenure_->ended = true;
             return;
         }
@@ -492,13 +513,14 @@
 // ---- workers ----
 
 bool Leader::usable(const Machine& m) const {
-    return m.up && !m.returning && !m.doomed && !m.closing && m.notice_until < 0 && m.quarantined_until <= now_ &&
-           now_ - m.last_report < 2.2 * settings_.report_s + 1 && m.type < tables_.types.size() &&
-           tables_.types[m.type].offered;
+    return m.up && !m.returning && !m.doomed && !m.closing && m.notice_until < 0 &&
+           m.quarantined_until <= now_ && now_ - m.last_report < 2.2 * settings_.report_s + 1 &&
+           m.type < tables_.types.size() && tables_.types[m.type].offered;
 }
 
 void Leader::report(PeerCall& call, Reply& reply) {
-    if (tenure_->ended || now_ > tenure_->sure_until + answering_grace(settings_)) return reply.set({503, "{}"});
+    if (tenure_->ended || now_ > tenure_->sure_until + answering_grace(settings_))
+        return reply.set({503, "{}"});
     Report r;
     try {
         r = parse_report(call.body);
@@ -543,14 +565,16 @@
         m.status = MachineStatus::Running;
         if (!m.returning) m.doomed = false;
         dirty_ = true;
-        spdlog::info("machine: {} up type={} zone={} spot={} after={:.1f}s", m.name, r.type, r.zone, r.spot, now_ - m.rented);
+        spdlog::info("machine: {} up type={} zone={} spot={} after={:.1f}s", m.name, r.type, r.zone, r.spot,
+                     now_ - m.rented);
     }
     if (r.session > m.session) {
         // A newer session: everything placed in an older one is gone.
         auto tasks = m.tasks;
         for (auto& ref : tasks) {
             auto& task = tables_.jobs[ref.job]->tasks[ref.task];
-            if (task.state == TaskState::Placed && task.machine == index && task.session < r.session) lose_task(ref.job, ref.task);
+            if (task.state == TaskState::Placed && task.machine == index && task.session < r.session)
+                lose_task(ref.job, ref.task);
         }
         m.images.clear();
     }
@@ -594,7 +618,8 @@
             auto& task = job.tasks[t.task];
             expected = task.state == TaskState::Placed && task.machine == index && task.attempt == t.attempt;
             if (expected && !exited) {
-                if (t.phase == TaskPhase::Running && task.phase != TaskPhase::Running && task.running_at == 0) task.running_at = static_cast<float>(now_);
+                if (t.phase == TaskPhase::Running && task.phase != TaskPhase::Running && task.running_at == 0)
+                    task.running_at = static_cast<float>(now_);
                 if (task.phase == TaskPhase::Fetching && t.phase != TaskPhase::Fetching) {
                     std::erase(m.images, job.spec.image);
                     m.images.push_back(job.spec.image);
@@ -603,14 +628,16 @@
                 tables_.set_phase(job, task, t.phase);
             } else if (expected) {
                 task_exited(it->second, t.task, index, t);
-            } else if (exited && t.cause == ExitCause::Done && task.state != TaskState::Done && t.attempt <= task.attempt) {
+            } else if (exited && t.cause == ExitCause::Done && task.state != TaskState::Done &&
+                       t.attempt <= task.attempt) {
                 // An older attempt completed after all; its result is kept.
                 spdlog::info("task: {}/{} done by an older attempt {}", t.job, t.task, t.attempt);
             }
         }
     }
     // Exited entries are cleared once their outcome is recorded; anything unexpected is stopped.
-    if ((exited || !expected) && m.strays.size() < kMaxStrays) m.strays.push_back({t.job, t.task, t.attempt, exited});
+    if ((exited || !expected) && m.strays.size() < kMaxStrays)
+        m.strays.push_back({t.job, t.task, t.attempt, exited});
 }
 
 void Leader::task_exited(Index j, uint32_t t, Index machine, const TaskReport& r) {
@@ -632,7 +659,8 @@
         return;
     }
     if (r.cause != ExitCause::Stopped)
-        spdlog::info("task: {}/{} attempt={} exited on {} cause={}", job.spec.id, t, r.attempt, m.name, static_cast<int>(r.cause));
+        spdlog::info("task: {}/{} attempt={} exited on {} cause={}", job.spec.id, t, r.attempt, m.name,
+                     static_cast<int>(r.cause));
     tables_.vacate(j, t, now_);
     if (r.cause == ExitCause::Error) task_failed(j, machine);
     if (r.cause == ExitCause::NoRoom || r.cause == ExitCause::Busy || r.cause == ExitCause::Unknown)
@@ -651,12 +679,16 @@
     m.faulty_jobs.insert(j);
     bool job_works = job.done > 0 || job.running > 0;
     if (job.failed_on.size() >= 2 && !job_works && m.faulty_jobs.size() < 2) {
-        job.not_before = now_ + std::min(120.0, 2.0 * std::pow(2.0, std::min<double>(job.failed_on.size() + job.failures / 8.0, 8)));
+        job.not_before =
+            now_ + std::min(120.0, 2.0 * std::pow(2.0, std::min<double>(
+                                                           job.failed_on.size() + job.failures / 8.0, 8)));
         for (auto i : job.failed_on) {
             auto* other = tables_.machines[i].get();
-            if (other && other->faulty_jobs.size() <= 1 && other->quarantined_until > now_) other->quarantined_until = 0;
+            if (other && other->faulty_jobs.size() <= 1 && other->quarantined_until > now_)
+                other->quarantined_until = 0;
         }
-        spdlog::info("job: {} failed on {} machines, tried again in {:.0f}s", job.spec.id, job.failed_on.size(), job.not_before - now_);
+        spdlog::info("job: {} failed on {} machines, tried again in {:.0f}s", job.spec.id,
+                     job.failed_on.size(), job.not_before - now_);
         return;
     }
     if (m.quarantined_until <= now_) {
@@ -695,11 +727,13 @@
     if (job.cancelled) {
         if (!job.cancel_recorded) return;
         for (uint32_t t = 0; t < job.tasks.size(); ++t)
-            if (job.tasks[t].state == TaskState::Placed && (!job.tasks[t].stopping || job.tasks[t].graceful)) stop_task(j, t, false);
+            if (job.tasks[t].state == TaskState::Placed && (!job.tasks[t].stopping || job.tasks[t].graceful))
+                stop_task(j, t, false);
         if (job.placed > 0) return;
     } else if (job.done < job.tasks.size()) {
         // A gang found half placed after a change of leader, or half gone.
-        if (job.spec.kind == JobKind::Gang && job.placed > 0 && job.pending > 0 && !job.gang_ending) end_gang(j, false);
+        if (job.spec.kind == JobKind::Gang && job.placed > 0 && job.pending > 0 && !job.gang_ending)
+            end_gang(j, false);
         return;
     }
     job.ending = true;
@@ -722,8 +756,10 @@
     for (auto& [index, commands] : direct_) {
         auto* m = tables_.machines[index].get();
         if (!m || !m->up || m->addr.empty()) continue;
-        asio::co_spawn(io_, send_stops(shared_from_this(), m->addr, direct_commands(tenure_->token, m->session, commands)),
-                       asio::detached);
+        asio::co_spawn(
+            io_,
+            send_stops(shared_from_this(), m->addr, direct_commands(tenure_->token, m->session, commands)),
+            asio::detached);
     }
     direct_.clear();
 }
@@ -732,7 +768,7 @@
     (void)self;
     try {
         HttpClient worker(io_, Endpoint::parse(addr, "worker"), 1024 * 1024);
-        co_await worker.request("POST", "/commands", std::move(body), 2.0);
+        co_await worker.request("POST", paths::kCommands, std::move(body), 2.0);
     } catch (const SettingsError& e) {
         spdlog::error("worker: bad address {}: {}", addr, e.what());
     }
@@ -760,7 +796,8 @@
     for (auto& ref : m.tasks) {
         auto& job = *tables_.jobs[ref.job];
         auto& task = job.tasks[ref.task];
-        if (task.phase == TaskPhase::Unseen && !task.stopping && !tables_.recorded(job, ref.task)) return true;
+        if (task.phase == TaskPhase::Unseen && !task.stopping && !tables_.recorded(job, ref.task))
+            return true;
     }
     for (auto& e : m.strays) {
         auto it = tables_.job_index.find(e.job);
@@ -782,7 +819,8 @@
                 bool expected = false;
                 if (it != tables_.job_index.end() && e.task < tables_.jobs[it->second]->tasks.size()) {
                     auto& task = tables_.jobs[it->second]->tasks[e.task];
-                    expected = task.state == TaskState::Placed && task.machine == index && task.attempt == e.attempt;
+                    expected =
+                        task.state == TaskState::Placed && task.machine == index && task.attempt == e.attempt;
                 }
                 if (!expected) commands.push_back({CommandOp::Stop, e.job, e.task, e.attempt, 0});
                 continue;
@@ -793,7 +831,8 @@
                     auto& task = job.tasks[e.task];
                     // Once cleared, the worker no longer knows the attempt: its outcome must stand recorded.
                     if (job.ending || !tables_.recorded(job, e.task)) continue;
-                    if (task.state == TaskState::Placed && task.machine == index && task.attempt == e.attempt) continue;
+                    if (task.state == TaskState::Placed && task.machine == index && task.attempt == e.attempt)
+                        continue;
                 }
             }
             commands.push_back({CommandOp::Forget, e.job, e.task, e.attempt, 0});
@@ -804,9 +843,11 @@
         auto& task = job.tasks[ref.task];
         if (task.stopping) {
             if (task.phase == TaskPhase::Saving && task.graceful) continue;
-            commands.push_back({CommandOp::Stop, job.spec.id, ref.task, task.attempt, task.graceful ? job.spec.save_s * 1.25 + 1 : 0});
-        } else if (task.phase == TaskPhase::Unseen && may_start && job.active() && task.session == m.session &&
-                   m.notice_until < 0 && !m.returning && tables_.recorded(job, ref.task)) {
+            commands.push_back({CommandOp::Stop, job.spec.id, ref.task, task.attempt,
+                                task.graceful ? job.spec.save_s * 1.25 + 1 : 0});
+        } else if (task.phase == TaskPhase::Unseen && may_start && job.active() &&
+                   task.session == m.session && m.notice_until < 0 && !m.returning &&
+                   tables_.recorded(job, ref.task)) {
             task.start_seq = held.seq;
             commands.push_back({CommandOp::Start, job.spec.id, ref.task, task.attempt, 0});
         }
@@ -860,13 +901,15 @@
             m->saw_token = false;
             continue;
         }
-        // Not heard of for a whole lease during which it could have been: it is given back. After an outage in
-        // which this leader itself fell silent, the machines are sound and will report again.
-        if (!m->up && m->up_at > 0 && !m->doomed && now_ - std::max({m->last_report, deaf_at_, tenure_->won}) > settings_.lease_s) {
+        // Not heard of for a whole lease during which it could have been: it is given back. After an outage
+        // in which this leader itself fell silent, the machines are sound and will report again.
+        if (!m->up && m->up_at > 0 && !m->doomed &&
+            now_ - std::max({m->last_report, deaf_at_, tenure_->won}) > settings_.lease_s) {
             spdlog::info("machine: {} not heard of for a lease, returned", m->name);
             m->doomed = true;
         }
-        if (expired && !m->up && !m->tasks.empty()) machine_gone(i, "not heard of since the change of leader");
+        if (expired && !m->up && !m->tasks.empty())
+            machine_gone(i, "not heard of since the change of leader");
         if (!m->up && m->tasks.empty() && !m->returning) {
             bool lost = m->listed ? m->missing && now_ - m->missing_since > 2 * settings_.list_lag_s + 2
                                   : now_ - m->added > std::max(60.0, 6 * settings_.list_lag_s);
@@ -876,10 +919,11 @@
                 continue;
             }
         }
-        // Silent, and no longer listed: taken, as it seems. To return it costs nothing and proves it gone, long
-        // before its lease would.
+        // Silent, and no longer listed: taken, as it seems. To return it costs nothing and proves it gone,
+        // long before its lease would.
         bool silent = now_ - std::max(m->last_report, tenure_->won) > 2.2 * settings_.report_s + 1;
-        bool unlisted = listed_once_ && (m->listed ? m->missing : now_ - m->added > 2 * settings_.list_lag_s + 1);
+        bool unlisted =
+            listed_once_ && (m->listed ? m->missing : now_ - m->added > 2 * settings_.list_lag_s + 1);
         if (silent && unlisted && !m->doomed && (m->up || !m->tasks.empty())) {
             spdlog::info("machine: {} is silent and not listed, returned", m->name);
             m->doomed = true;
@@ -981,7 +1025,8 @@
 void Leader::handle(Rented& r) {
     auto& type = tables_.names.types.name(r.rental.type);
     auto& zone = tables_.names.zones.name(r.rental.zone);
-    spdlog::info("cloud: rented {}/{} of {} in {} spot={}", r.names.size(), r.rental.count, type, zone, r.rental.spot);
+    spdlog::info("cloud: rented {}/{} of {} in {} spot={}", r.names.size(), r.rental.count, type, zone,
+                 r.rental.spot);
     metrics_.count("machines_rented_total", r.names.size());
     for (auto& name : r.names) {
         if (gone_.count(name)) continue;
@@ -1015,8 +1060,8 @@
     }
 }
 
-asio::awaitable<std::optional<HttpAnswer>> Leader::cloud_call(const char* method, std::string target, std::string body,
-                                                              double timeout_s) {
+asio::awaitable<std::optional<HttpAnswer>> Leader::cloud_call(const char* method, std::string target,
+                                                              std::string body, double timeout_s) {
     while (!stopped_) {
         double now = steady_now();
         if (now >= cloud_pause_until_ && cloud_budget_.available(now) >= 1) break;
@@ -1024,14 +1069,16 @@
     }
     cloud_budget_.take(1);
     auto answer = co_await cloud_.request(method, std::move(target), std::move(body), timeout_s);
-    bool trouble = !answer || answer->status == 429 || (answer->status == 503 && answer->body.find("capacity") == std::string::npos);
-    if (trouble) cloud_pause_until_ = steady_now() + std::uniform_real_distribution<double>(0.8, 1.6)(random_);
+    bool trouble =
+        !answer || answer->status == 429 || (answer->status == 503 && !says_no_capacity(answer->body));
+    if (trouble)
+        cloud_pause_until_ = steady_now() + std::uniform_real_distribution<double>(0.8, 1.6)(random_);
     co_return answer;
 }
 
 asio::awaitable<void> Leader::types_loop(std::shared_ptr<Leader> self) {
     while (!stopped_) {
-        auto answer = co_await cloud_call("GET", "/machine_types", "", 3);
+        auto answer = co_await cloud_call("GET", paths::kMachineTypes, "", 3);
         bool good = false;
         if (answer && answer->status == 200) {
             try {
@@ -1076,9 +1123,10 @@
     for (auto& r : rentals) {
         // Unique for ever: no other leader has this token, and no other rental of this leader this number.
         auto request = fmt::format("w{}-{}", tenure_->token, ++hires_);
-        auto body = rental_json(request, tables_.names.types.name(r.type), tables_.names.zones.name(r.zone), r.spot, r.count);
+        auto body = rental_json(request, tables_.names.types.name(r.type), tables_.names.zones.name(r.zone),
+                                r.spot, r.count);
         while (!stopped_) {
-            auto answer = co_await cloud_call("POST", "/machines", body, 4);
+            auto answer = co_await cloud_call("POST", paths::kMachines, body, 4);
             if (stopped_) co_return;
             if (answer && answer->status == 200) {
                 try {
@@ -1087,7 +1135,7 @@
                 } catch (const BadMessage& e) {
                     spdlog::error("cloud: malformed answer to a rental: {}", e.what());
                 }
-            } else if (answer && answer->status == 503 && answer->body.find("capacity") != std::string::npos) {
+            } else if (answer && answer->status == 503 && says_no_capacity(answer->body)) {
                 post(Rented{r, {}});
                 break;
             } else if (answer && answer->status == 400) {
@@ -1102,7 +1150,7 @@
 }
 
 asio::awaitable<void> Leader::give_back(std::shared_ptr<Leader> self, std::vector<std::string> names) {
-    auto answer = co_await cloud_call("POST", "/machines/return", return_json(names), 4);
+    auto answer = co_await cloud_call("POST", paths::kReturn, return_json(names), 4);
     // Without an answer they may be gone or not: they stay out of use and are returned again.
     self->post(Returned{std::move(names), answer && answer->status == 200});
 }
@@ -1113,12 +1161,14 @@
     next_schedule_ = now_ + properties_.scheduling_pause_s;
     if (!sure(now_)) return;
     dirty_ = false;
-    place_waiting(tables_, [this](const Machine& m) { return usable(m); }, now_);
+    place_waiting(
+        tables_, [this](const Machine& m) { return usable(m); }, now_);
 }
 
 void Leader::preempt() {
     if (!sure(now_)) return;
-    auto round = plan_preemption(tables_, [this](const Machine& m) { return usable(m); }, now_);
+    auto round = plan_preemption(
+        tables_, [this](const Machine& m) { return usable(m); }, now_);
     if (round.clearings.empty()) return;
     ++rounds_;
     metrics_.count("preemption_rounds_total");
@@ -1127,10 +1177,11 @@
     for (auto& c : round.clearings) {
         for (auto i : c.machines) {
             tables_.machines[i]->reserved_for = c.job;
-            tables_.machines[i]->reserved_until = now_ + 2 * properties_.preemption_round_s + settings_.lease_s;
+            tables_.machines[i]->reserved_until =
+                now_ + 2 * properties_.preemption_round_s + settings_.lease_s;
         }
-        spdlog::info("preemption: round={} job={} machines={} stops={}", rounds_, tables_.jobs[c.job]->spec.id,
-                     c.machines.size(), round.stops.size());
+        spdlog::info("preemption: round={} job={} machines={} stops={}", rounds_,
+                     tables_.jobs[c.job]->spec.id, c.machines.size(), round.stops.size());
     }
     for (auto& ref : round.stops) {
         auto& task = tables_.jobs[ref.job]->tasks[ref.task];
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -21,8 +21,8 @@
 
 class Leader : public std::enable_shared_from_this<Leader> {
   public:
-    Leader(boost::asio::io_context& io, const Settings& settings, const Properties& properties, StateClient& state,
-           Metrics& metrics, std::shared_ptr<Tenure> tenure);
+    Leader(boost::asio::io_context& io, const Settings& settings, const Properties& properties,
+           StateClient& state, Metrics& metrics, std::shared_ptr<Tenure> tenure);
     void start();
     // The tenure is over: nothing is answered or sent any more.
     void stop();
@@ -68,7 +68,8 @@
         bool done = false;
     };
     struct Tick {};
-    using Message = std::variant<Tick, Asked, FinalRead, TxnDone, TxnUnsure, TypesRead, ListRead, Rented, RentPassDone, Returned>;
+    using Message = std::variant<Tick, Asked, FinalRead, TxnDone, TxnUnsure, TypesRead, ListRead, Rented,
+                                 RentPassDone, Returned>;
     using Mailbox = boost::asio::experimental::channel<void(boost::system::error_code, Message)>;
 
     struct Held {  // a worker's report that waits for records before it is answered
@@ -81,14 +82,15 @@
     boost::asio::awaitable<bool> load();
     boost::asio::awaitable<void> tick_loop(std::shared_ptr<Leader> self);
     boost::asio::awaitable<void> commit(std::shared_ptr<Leader> self, LedgerBatch batch);
-    boost::asio::awaitable<void> read_final(std::shared_ptr<Leader> self, PeerCall call, Reply reply, int refusal);
+    boost::asio::awaitable<void> read_final(std::shared_ptr<Leader> self, PeerCall call, Reply reply,
+                                            int refusal);
     boost::asio::awaitable<void> types_loop(std::shared_ptr<Leader> self);
     boost::asio::awaitable<void> list_loop(std::shared_ptr<Leader> self);
     boost::asio::awaitable<void> rent(std::shared_ptr<Leader> self, std::vector<Rental> rentals);
     boost::asio::awaitable<void> give_back(std::shared_ptr<Leader> self, std::vector<std::string> names);
     boost::asio::awaitable<void> send_stops(std::shared_ptr<Leader> self, std::string addr, std::string body);
-    boost::asio::awaitable<std::optional<HttpAnswer>> cloud_call(const char* method, std::string target, std::string body,
-                                                                 double timeout_s);
+    boost::asio::awaitable<std::optional<HttpAnswer>> cloud_call(const char* method, std::string target,
+                                                                 std::string body, double timeout_s);
 
     void post(Message m);
     void handle(Asked& m);
@@ -154,8 +156,8 @@
     bool flushing_ = false;
     double flush_not_before_ = 0, state_failed_at_ = -1e9, state_worked_at_ = 0;
     std::map<std::string, std::vector<std::pair<PeerOp, Reply>>> waiters_;  // by job id
-    std::map<Index, Held> held_;                                          // by machine
-    std::map<Index, std::vector<Command>> direct_;                        // stops to send, by machine
+    std::map<Index, Held> held_;                                            // by machine
+    std::map<Index, std::vector<Command>> direct_;                          // stops to send, by machine
     std::unordered_map<std::string, FinalState> finals_;
     std::deque<std::string> finals_order_;
 
@@ -166,7 +168,7 @@
     bool renting_ = false, returning_ = false, listed_once_ = false;
     double rent_not_before_ = 0;
     uint64_t hires_ = 0;
-    double deaf_at_ = -1e9;  // when this leader last could not answer reports
+    double deaf_at_ = -1e9;               // when this leader last could not answer reports
     std::map<std::string, double> gone_;  // machines known to be gone, which a late list may still show
 };
 
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -47,8 +47,9 @@
         // Among equals, those that can still be in time go first, and of them the one due soonest.
         int missed;
         double due = tables.due(job, now + tables.expected_run_s(job.spec), missed);
-        return std::make_tuple(-static_cast<int>(job.spec.priority), !tables.within_guarantee(team, job.spec.need),
-                               -job.spec.need.gpu, missed, due, job.submitted, std::string_view(job.spec.id));
+        return std::make_tuple(-static_cast<int>(job.spec.priority),
+                               !tables.within_guarantee(team, job.spec.need), -job.spec.need.gpu, missed, due,
+                               job.submitted, std::string_view(job.spec.id));
     };
     std::sort(out.begin(), out.end(), [&](Index a, Index b) { return key(a) < key(b); });
     return out;
@@ -56,7 +57,9 @@
 
 namespace {
 
-bool has_image(const Machine& m, Index image) { return std::find(m.images.begin(), m.images.end(), image) != m.images.end(); }
+bool has_image(const Machine& m, Index image) {
+    return std::find(m.images.begin(), m.images.end(), image) != m.images.end();
+}
 
 // Smaller is a better fit. GPUs are not spent on tasks that need none while there is another place.
 auto fit(const Tables& tables, const Job& job, const Machine& m) {
@@ -64,7 +67,8 @@
     auto left = m.room() - job.spec.need;
     bool wasted_gpus = job.spec.need.gpu == 0 && m.size.gpu > 0;
     int64_t rest = job.spec.need.gpu > 0 ? left.gpu : left.cpu;
-    return std::make_tuple(wasted_gpus, job.failed_on.size() && job.failed_on.count(tables.find_machine(m.name)) > 0,
+    return std::make_tuple(wasted_gpus,
+                           job.failed_on.size() && job.failed_on.count(tables.find_machine(m.name)) > 0,
                            m.tasks.empty(), rest, !has_image(m, job.spec.image), !m.spot, left.cpu, left.mem);
 }
 
@@ -87,7 +91,9 @@
         Index best = kNone;
         for (auto i : candidates) {
             auto& m = *tables.machines[i];
-            if (!job.spec.need.fits_in(m.room()) || !zones.allows(m.zone) || !tables.leaves_gpus_usable(job.spec, m)) continue;
+            if (!job.spec.need.fits_in(m.room()) || !zones.allows(m.zone) ||
+                !tables.leaves_gpus_usable(job.spec, m))
+                continue;
             if (best == kNone || fit(tables, job, m) < fit(tables, job, *tables.machines[best])) best = i;
         }
         return best;
@@ -133,8 +139,8 @@
     return false;
 }
 
-void place_tasks(Tables& tables, const Usable& usable, Index index, const Resources& held, double now, size_t most,
-                 std::vector<Placement>& out) {
+void place_tasks(Tables& tables, const Usable& usable, Index index, const Resources& held, double now,
+                 size_t most, std::vector<Placement>& out) {
     auto& job = *tables.jobs[index];
     auto& team = tables.teams[job.spec.team];
     Room room(tables, usable, index, now);
@@ -175,7 +181,8 @@
             place_tasks(tables, usable, j, kept, now, most, out);
         if (job.pending > 0 && tables.large(job.spec)) {
             auto more = job.spec.need * (job.spec.kind == JobKind::Gang ? job.pending : 1);
-            if (!tables.below_limit(tables.teams[job.spec.team], large[job.spec.team] + share + more)) continue;
+            if (!tables.below_limit(tables.teams[job.spec.team], large[job.spec.team] + share + more))
+                continue;
             above = job.spec.priority;
             share += more;
         }
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -12,8 +12,8 @@
     return cost;
 }
 
-std::vector<size_t> pick_cheapest(const std::vector<ClearCandidate>& candidates, const std::vector<uint32_t>& spans,
-                                  size_t n) {
+std::vector<size_t> pick_cheapest(const std::vector<ClearCandidate>& candidates,
+                                  const std::vector<uint32_t>& spans, size_t n) {
     auto left = candidates;
     std::vector<bool> picked(candidates.size(), false);
     std::vector<size_t> out;
@@ -41,7 +41,8 @@
     auto& owed = tables.teams[job.spec.team];
     auto& taker = tables.teams[victim.spec.team];
     return victim.spec.team != job.spec.team && tables.over_guarantee(taker) &&
-           tables.within_guarantee(owed, job.spec.kind == JobKind::Array ? job.spec.need : job.spec.need * job.pending);
+           tables.within_guarantee(
+               owed, job.spec.kind == JobKind::Array ? job.spec.need : job.spec.need * job.pending);
 }
 
 namespace {
@@ -68,10 +69,12 @@
         bool gang = job.spec.kind == JobKind::Gang;
         int64_t wanted = gang ? job.pending : 0;
         if (gang && !tables.within_limit(team, job.spec.need * job.pending)) continue;
-        while (!gang && wanted < job.pending && tables.within_limit(team, job.spec.need * (wanted + 1))) ++wanted;
+        while (!gang && wanted < job.pending && tables.within_limit(team, job.spec.need * (wanted + 1)))
+            ++wanted;
         // Machines already being emptied for this job.
         for (Index i = 0; i < tables.machines.size(); ++i)
-            if (taken[i] && tables.machines[i]->reserved_for == j) wanted -= job.spec.need.times_in(tables.machines[i]->size);
+            if (taken[i] && tables.machines[i]->reserved_for == j)
+                wanted -= job.spec.need.times_in(tables.machines[i]->size);
         if (wanted <= 0) continue;
 
         std::vector<Index> zones{kNone};
@@ -115,11 +118,13 @@
                     if (fresh) {
                         std::vector<Index> on;
                         for (auto& t : victim.tasks)
-                            if (t.state == TaskState::Placed && std::find(on.begin(), on.end(), t.machine) == on.end())
+                            if (t.state == TaskState::Placed &&
+                                std::find(on.begin(), on.end(), t.machine) == on.end())
                                 on.push_back(t.machine);
                         spans.push_back(static_cast<uint32_t>(on.size()));
                     }
-                    if (std::find(c.candidate.gangs.begin(), c.candidate.gangs.end(), it->second) == c.candidate.gangs.end())
+                    if (std::find(c.candidate.gangs.begin(), c.candidate.gangs.end(), it->second) ==
+                        c.candidate.gangs.end())
                         c.candidate.gangs.push_back(it->second);
                 }
                 if (clearable && !m->tasks.empty()) list.push_back(std::move(c));
@@ -165,7 +170,8 @@
                 auto& victim = *tables.jobs[ref.job];
                 if (victim.spec.kind == JobKind::Gang) {
                     for (uint32_t t = 0; t < victim.tasks.size(); ++t)
-                        if (victim.tasks[t].state == TaskState::Placed && stopped.emplace(std::pair(ref.job, t), true).second)
+                        if (victim.tasks[t].state == TaskState::Placed &&
+                            stopped.emplace(std::pair(ref.job, t), true).second)
                             round.stops.push_back({ref.job, t});
                 } else if (stopped.emplace(std::pair(ref.job, ref.task), true).second) {
                     round.stops.push_back(ref);
@@ -187,10 +193,12 @@
         json::array machines;
         for (auto m : c.machines)
             if (machines.size() < kMost) machines.emplace_back(tables.machines[m]->name);
-        clearings.push_back(json::object{{"job", tables.jobs[c.job]->spec.id}, {"machines", std::move(machines)}});
+        clearings.push_back(
+            json::object{{"job", tables.jobs[c.job]->spec.id}, {"machines", std::move(machines)}});
     }
-    return json::serialize(json::object{
-        {"number", number}, {"clearings", std::move(clearings)}, {"stops", static_cast<uint64_t>(round.stops.size())}});
+    return json::serialize(json::object{{"number", number},
+                                        {"clearings", std::move(clearings)},
+                                        {"stops", static_cast<uint64_t>(round.stops.size())}});
 }
 
 }  // namespace weirmill
--- a/src/coordination/preemption.h
+++ b/src/coordination/preemption.h
@@ -19,8 +19,8 @@
 
 // Picks `n` candidates, cheapest first, scoring again after every pick. `spans[g]` is the number of
 // machines that gang g occupies. Ties go to the earlier candidate.
-std::vector<size_t> pick_cheapest(const std::vector<ClearCandidate>& candidates, const std::vector<uint32_t>& spans,
-                                  size_t n);
+std::vector<size_t> pick_cheapest(const std::vector<ClearCandidate>& candidates,
+                                  const std::vector<uint32_t>& spans, size_t n);
 double preemption_cost(const ClearCandidate& candidate, const std::vector<uint32_t>& spans);
 
 struct PreemptionRound {
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -10,22 +10,22 @@
 
 constexpr int kMaxRental = 50;  // machines in one request to the cloud
 constexpr double kNewcomer_s = 15;
-constexpr double kSooner = 1.3;       // a new machine must be sooner by this factor to be worth renting
+constexpr double kSooner = 1.3;        // a new machine must be sooner by this factor to be worth renting
 constexpr double kPatience = 0.15;     // share of a job's slack that it may wait for room
 constexpr double kThrift = 0.5;        // and as much more as a new machine would stand empty
-constexpr double kStopping_s = 3;     // a task told to stop is gone soon
-constexpr double kOverdue = 0.15;     // of its expected run: what is left of a task that should be over
+constexpr double kStopping_s = 3;      // a task told to stop is gone soon
+constexpr double kOverdue = 0.15;      // of its expected run: what is left of a task that should be over
 constexpr double kLeastCharge_s = 60;  // a machine costs this much even if it is returned sooner
 constexpr double kRecent_s = 120;      // what came in this time is what will come
 constexpr double kSettled_s = 30;      // a task that has just started is left alone
 constexpr double kMove_s = 6;          // from a task's exit to its start elsewhere
-constexpr size_t kMostTasks = 400;    // of one job, looked at one by one
+constexpr size_t kMostTasks = 400;     // of one job, looked at one by one
 
 // A machine that is up, coming up or to be rented, as far as it is known when it will have room.
 struct Coming {
     Index type, zone;
     bool spot;
-    double from;     // seconds from now at which `room` is there
+    double from;  // seconds from now at which `room` is there
     Resources room;
     std::vector<std::pair<double, Resources>> ends;  // what running tasks will free, soonest first
 
@@ -48,7 +48,9 @@
         room -= need;
         from = std::max(from, taken ? at : from);
         std::pair<double, Resources> end{at + lasts, need};
-        ends.insert(std::upper_bound(ends.begin(), ends.end(), end, [](auto& x, auto& y) { return x.first < y.first; }), end);
+        ends.insert(std::upper_bound(ends.begin(), ends.end(), end,
+                                     [](auto& x, auto& y) { return x.first < y.first; }),
+                    end);
     }
 };
 
@@ -67,15 +69,20 @@
         // One that a change of leader has just revealed is likely to report soon.
         bool booting = !m->up && (m->status == MachineStatus::Booting || now - m->added < kNewcomer_s);
         if (!booting && !usable(*m)) continue;
-        Coming c{m->type, m->zone, m->spot, booting ? std::max(0.2 * boot, m->rented + tables.boot_factor * boot - now) : 0, m->room(), {}};
+        Coming c{m->type,   m->zone,
+                 m->spot,   booting ? std::max(0.2 * boot, m->rented + tables.boot_factor * boot - now) : 0,
+                 m->room(), {}};
         for (auto& ref : m->tasks) {
             auto& job = *tables.jobs[ref.job];
             if (job.spec.kind == JobKind::Service) continue;
             auto& task = job.tasks[ref.task];
             double run = tables.expected_run_s(job.spec), left;
-            if (task.stopping) left = kStopping_s;
-            else if (task.running_at > 0) left = std::max(kOverdue * run, run - (now - task.running_at));
-            else left = run + std::max(0.0, tables.fetch_s(job.spec, m->type) - (now - task.placed_at));
+            if (task.stopping)
+                left = kStopping_s;
+            else if (task.running_at > 0)
+                left = std::max(kOverdue * run, run - (now - task.running_at));
+            else
+                left = run + std::max(0.0, tables.fetch_s(job.spec, m->type) - (now - task.placed_at));
             c.ends.emplace_back(left, job.spec.need);
         }
         std::sort(c.ends.begin(), c.ends.end(), [](auto& x, auto& y) { return x.first < y.first; });
@@ -85,7 +92,8 @@
 }
 
 // The offer that is cheapest for a task of `tasks`; spot first where it may be used.
-Coming cheapest_offer(const Tables& tables, const JobSpec& spec, size_t tasks, Index only, const ZoneRule& rule, double now) {
+Coming cheapest_offer(const Tables& tables, const JobSpec& spec, size_t tasks, Index only,
+                      const ZoneRule& rule, double now) {
     double best_cost = 0;
     Coming offer{kNone, kNone, false, 0, {}, {}};
     for (Index t = 0; t < tables.types.size(); ++t) {
@@ -94,7 +102,8 @@
         auto fits = std::min<int64_t>(spec.need.times_in(type.size), static_cast<int64_t>(tasks));
         for (auto& zone_name : type.zones) {
             auto z = tables.names.zones.find(zone_name);
-            if (z == kNone || (only != kNone && z != only) || (spec.zone != kNone && z != spec.zone)) continue;
+            if (z == kNone || (only != kNone && z != only) || (spec.zone != kNone && z != spec.zone))
+                continue;
             if (!rule.allows(z)) continue;
             for (bool spot : {true, false}) {
                 if ((spot && !spec.spot) || tables.refused(t, z, spot, now)) continue;
@@ -129,7 +138,9 @@
         if (c.start_within_s <= 0 || c.arrivals.empty() || c.last.team == kNone) continue;
         double boot = 1e18;
         for (Index t = 0; t < tables.types.size(); ++t)
-            if (tables.type_fits(c.last, t)) boot = std::min(boot, tables.boot_factor * tables.types[t].type.boot_s + tables.fetch_s(c.last, t));
+            if (tables.type_fits(c.last, t))
+                boot = std::min(boot,
+                                tables.boot_factor * tables.types[t].type.boot_s + tables.fetch_s(c.last, t));
         double fresh = boot + 2 * settings.report_s;
         if (boot > 1e17 || fresh <= c.start_within_s) continue;
         // As many as come, and a little more, while a new machine boots; and room for the largest.
@@ -142,12 +153,14 @@
         }
         if (tasks == 0) continue;
         double mean = tasks / kRecent_s * fresh;
-        out.push_back({&c.last, std::max<int64_t>(largest, static_cast<int64_t>(std::ceil(mean + std::sqrt(mean))))});
+        out.push_back(
+            {&c.last, std::max<int64_t>(largest, static_cast<int64_t>(std::ceil(mean + std::sqrt(mean))))});
     }
     return out;
 }
 
-std::vector<Rental> plan_rentals(const Tables& tables, const Usable& usable, const SizingSettings& settings, double now) {
+std::vector<Rental> plan_rentals(const Tables& tables, const Usable& usable, const SizingSettings& settings,
+                                 double now) {
     auto coming = known_machines(tables, usable, now);
     std::map<std::tuple<Index, Index, bool>, int> wanted;
     std::vector<Resources> team_extra(tables.teams.size());
@@ -160,7 +173,9 @@
         bool bound = spec.one_zone && (gang || job.placed > 0);
         ZoneRule rule(tables, job);
         size_t left = 0;
-        while (left < job.pending && left < kMostTasks && tables.within_limit(team, extra + spec.need * static_cast<int64_t>(left + 1))) ++left;
+        while (left < job.pending && left < kMostTasks &&
+               tables.within_limit(team, extra + spec.need * static_cast<int64_t>(left + 1)))
+            ++left;
         if (gang && left < job.pending) continue;
         extra += spec.need * static_cast<int64_t>(left);
         double run = tables.expected_run_s(spec), fetch = 0;
@@ -180,7 +195,8 @@
                     if (c.zone == z && serves(tables, spec, c)) n += spec.need.times_in(c.room);
                 return n;
             };
-            std::stable_sort(zones.begin(), zones.end(), [&](Index a, Index b) { return room_in(a) > room_in(b); });
+            std::stable_sort(zones.begin(), zones.end(),
+                             [&](Index a, Index b) { return room_in(a) > room_in(b); });
         }
         struct Plan {
             bool late = true;  // room comes later than the job would like, and nothing can be rented
@@ -203,7 +219,9 @@
                 double best_at = 1e18;
                 for (size_t i = 0; i < trial.size(); ++i) {
                     auto& c = trial[i];
-                    if (!serves(tables, spec, c) || (only != kNone && c.zone != only) || !trial_rule.allows(c.zone)) continue;
+                    if (!serves(tables, spec, c) || (only != kNone && c.zone != only) ||
+                        !trial_rule.allows(c.zone))
+                        continue;
                     size_t taken;
                     double at = c.start(spec.need, taken);
                     if (at < best_at) best = i, best_at = at, best_taken = taken;
@@ -213,8 +231,10 @@
                 // are taken as far as the job can afford them.
                 double filled = 1;
                 if (offer.type != kNone)
-                    filled = std::min(1.0, static_cast<double>(rest) / static_cast<double>(spec.need.times_in(offer.room)));
-                bool soon = best_at <= std::max(kSooner * offer.from, (kPatience + kThrift * (1 - filled)) * slack);
+                    filled = std::min(
+                        1.0, static_cast<double>(rest) / static_cast<double>(spec.need.times_in(offer.room)));
+                bool soon =
+                    best_at <= std::max(kSooner * offer.from, (kPatience + kThrift * (1 - filled)) * slack);
                 bool wait = best < trial.size() && (offer.type == kNone || soon);
                 if (!wait) {
                     if (offer.type == kNone) break;
@@ -236,7 +256,9 @@
             }
             if (rest > 0 && (bound || gang)) continue;  // all or nothing: the next zone
             // Of several zones, one where the job is served in time, with the fewest machines rented.
-            auto rank = [](const Plan& p) { return std::make_tuple(p.late, p.late ? p.latest : 0, p.rented, p.latest); };
+            auto rank = [](const Plan& p) {
+                return std::make_tuple(p.late, p.late ? p.latest : 0, p.rented, p.latest);
+            };
             if (rank(plan) < rank(chosen)) {
                 chosen = std::move(plan);
                 chosen.machines = std::move(trial);
@@ -255,14 +277,16 @@
         nobody.spec = *spare.like;
         ZoneRule anywhere(tables, nobody);
         while (free < spare.tasks) {
-            auto offer = cheapest_offer(tables, *spare.like, static_cast<size_t>(spare.tasks - free), kNone, anywhere, now);
+            auto offer = cheapest_offer(tables, *spare.like, static_cast<size_t>(spare.tasks - free), kNone,
+                                        anywhere, now);
             if (offer.type == kNone) break;
             ++wanted[{offer.type, offer.zone, offer.spot}];
             free += std::max<int64_t>(1, spare.like->need.times_in(offer.room));
         }
     }
     std::vector<Rental> out;
-    for (auto& [key, n] : wanted) out.push_back({std::get<0>(key), std::get<1>(key), std::get<2>(key), std::min(n, kMaxRental)});
+    for (auto& [key, n] : wanted)
+        out.push_back({std::get<0>(key), std::get<1>(key), std::get<2>(key), std::min(n, kMaxRental)});
     return out;
 }
 
@@ -280,12 +304,15 @@
     for (Index i = 0; i < tables.machines.size(); ++i) {
         auto* m = tables.machines[i].get();
         if (!m || m->tasks.empty() || !usable(*m) || m->reserved_for != kNone) continue;
-        if (std::any_of(waiting.begin(), waiting.end(), [&](Index j) { return wants(tables, *tables.jobs[j], *m); })) continue;
+        if (std::any_of(waiting.begin(), waiting.end(),
+                        [&](Index j) { return wants(tables, *tables.jobs[j], *m); }))
+            continue;
         auto& type = tables.types[m->type].type;
         // Room elsewhere, on machines that stay in use anyway.
         std::vector<std::pair<const Machine*, Resources>> others;
         for (auto& o : tables.machines)
-            if (o && o.get() != m && usable(*o) && !o->tasks.empty() && o->tasks.size() >= m->tasks.size()) others.emplace_back(o.get(), o->room());
+            if (o && o.get() != m && usable(*o) && !o->tasks.empty() && o->tasks.size() >= m->tasks.size())
+                others.emplace_back(o.get(), o->room());
         double longest = 0, moving = 0;
         bool fits = true;
         for (auto& ref : m->tasks) {
@@ -293,12 +320,14 @@
             auto& task = job.tasks[ref.task];
             auto& spec = job.spec;
             double ran = now - task.running_at;
-            fits = spec.kind == JobKind::Array && spec.checkpoint_s > 0 && !spec.one_zone && !spec.spread && job.active() &&
-                   task.phase == TaskPhase::Running && !task.stopping && task.running_at > 0 && ran >= kSettled_s;
+            fits = spec.kind == JobKind::Array && spec.checkpoint_s > 0 && !spec.one_zone && !spec.spread &&
+                   job.active() && task.phase == TaskPhase::Running && !task.stopping &&
+                   task.running_at > 0 && ran >= kSettled_s;
             if (!fits) break;
             auto place = std::find_if(others.begin(), others.end(), [&](auto& o) {
                 return tables.machine_allowed(spec, *o.first) && spec.need.fits_in(o.second) &&
-                       std::find(o.first->images.begin(), o.first->images.end(), spec.image) != o.first->images.end();
+                       std::find(o.first->images.begin(), o.first->images.end(), spec.image) !=
+                           o.first->images.end();
             });
             fits = place != others.end();
             if (!fits) break;
@@ -320,7 +349,8 @@
     auto spare = spares(tables, settings, now);
     auto keeps = [&](const Machine& m) {
         for (auto& s : spare) {
-            if (s.tasks <= 0 || !tables.machine_allowed(*s.like, m) || tables.spares_gpus(*s.like, m.type)) continue;
+            if (s.tasks <= 0 || !tables.machine_allowed(*s.like, m) || tables.spares_gpus(*s.like, m.type))
+                continue;
             s.tasks -= s.like->need.times_in(m.room());
             return true;
         }
@@ -340,7 +370,9 @@
         }
         if (m->reserved_for != kNone && m->reserved_until > now) continue;
         if (m->type >= tables.types.size() || !tables.types[m->type].offered) continue;
-        if (std::any_of(waiting.begin(), waiting.end(), [&](Index j) { return wants(tables, *tables.jobs[j], *m); })) continue;
+        if (std::any_of(waiting.begin(), waiting.end(),
+                        [&](Index j) { return wants(tables, *tables.jobs[j], *m); }))
+            continue;
         double keep = settings.idle_keep_boots * tables.types[m->type].type.boot_s;
         if (now - m->rented < kLeastCharge_s || now - std::max(m->empty_since, m->up_at) < keep) continue;
         if (!keeps(*m)) out.push_back(i);
--- a/src/coordination/sizing.h
+++ b/src/coordination/sizing.h
@@ -28,7 +28,8 @@
 std::vector<Spare> spares(const Tables& tables, const SizingSettings& settings, double now);
 
 // What waiting work needs beyond the machines that are up or coming up.
-std::vector<Rental> plan_rentals(const Tables& tables, const Usable& usable, const SizingSettings& settings, double now);
+std::vector<Rental> plan_rentals(const Tables& tables, const Usable& usable, const SizingSettings& settings,
+                                 double now);
 
 // The dearest machine whose running tasks can all save and go on where there is room already, if moving them
 // costs less than the machine would until they end. kNone: there is none.
--- a/src/protocol/cloud_codec.cpp
+++ b/src/protocol/cloud_codec.cpp
@@ -1,5 +1,7 @@
 #include "protocol/cloud_codec.h"
 
+#include "protocol/paths.h"
+
 namespace weirmill {
 
 namespace json = boost::json;
@@ -71,10 +73,14 @@
         m.zone = read::text(o, "yard");
         m.spot = read::flag(o, "loaners");
         auto status = read::text(o, "status");
-        if (status == "booting") m.status = MachineStatus::Booting;
-        else if (status == "running") m.status = MachineStatus::Running;
-        else if (status == "failed") m.status = MachineStatus::Failed;
-        else read::bad("status");
+        if (status == "booting")
+            m.status = MachineStatus::Booting;
+        else if (status == "running")
+            m.status = MachineStatus::Running;
+        else if (status == "failed")
+            m.status = MachineStatus::Failed;
+        else
+            read::bad("status");
         m.age_s = read::number(o, "age_s", 0.0);
         page.machines.push_back(std::move(m));
     }
@@ -82,12 +88,22 @@
     return page;
 }
 
+bool says_no_capacity(std::string_view body) {
+    try {
+        auto v = read::parse(body);
+        return read::text(read::object(v), "error") == "no capacity";
+    } catch (const BadMessage&) {
+        return false;
+    }
+}
+
 std::vector<std::string> parse_rented(std::string_view body) {
     auto v = read::parse(body);
     return text_list(read::object(v), "millstones");
 }
 
-std::string rental_json(const std::string& request, const std::string& type, const std::string& zone, bool spot, int count) {
+std::string rental_json(const std::string& request, const std::string& type, const std::string& zone,
+                        bool spot, int count) {
     return json::serialize(
         json::object{{"hire", request}, {"rig", type}, {"yard", zone}, {"loaners", spot}, {"count", count}});
 }
@@ -99,7 +115,8 @@
 }
 
 std::string machine_list_target(const std::string& after, int limit) {
-    std::string t = "/machines?most=" + std::to_string(limit);
+    std::string t = paths::kMachines;
+    t += "?most=" + std::to_string(limit);
     if (!after.empty()) t += "&from=" + after;
     return t;
 }
--- a/src/protocol/state_codec.cpp
+++ b/src/protocol/state_codec.cpp
@@ -94,7 +94,8 @@
 }
 
 std::string state_watch_target(const std::string& prefix, uint64_t after, int wait_ms) {
-    return "/follow?starts=" + prefix + "&from=" + std::to_string(after) + "&block_ms=" + std::to_string(wait_ms);
+    return "/follow?starts=" + prefix + "&from=" + std::to_string(after) +
+           "&block_ms=" + std::to_string(wait_ms);
 }
 
 }  // namespace weirmill
--- a/src/protocol/types.h
+++ b/src/protocol/types.h
@@ -1,6 +1,5 @@
 // The field's terms, as the rest of the program uses them. Wire spellings stay in the codecs.
 #pragma once
-#include <cmath>
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
@@ -34,7 +33,9 @@
     friend Resources operator+(Resources a, const Resources& b) { return a += b; }
     friend Resources operator-(Resources a, const Resources& b) { return a -= b; }
     friend Resources operator*(Resources a, int64_t n) { return {a.cpu * n, a.gpu * n, a.mem * n}; }
-    bool fits_in(const Resources& room) const { return cpu <= room.cpu && gpu <= room.gpu && mem <= room.mem; }
+    bool fits_in(const Resources& room) const {
+        return cpu <= room.cpu && gpu <= room.gpu && mem <= room.mem;
+    }
     bool operator==(const Resources&) const = default;
     // How many of these fit side by side.
     int64_t times_in(const Resources& room) const {
--- a/src/protocol/user_codec.cpp
+++ b/src/protocol/user_codec.cpp
@@ -15,21 +15,28 @@
     const char* wire;
     JobKind kind;
 };
-constexpr KindName kKinds[] = {{"array", JobKind::Array}, {"ensemble", JobKind::Gang}, {"standing", JobKind::Service}};
+constexpr KindName kKinds[] = {
+    {"array", JobKind::Array}, {"ensemble", JobKind::Gang}, {"standing", JobKind::Service}};
 
 struct PriorityName {
     const char* wire;
     Priority priority;
 };
-constexpr PriorityName kPriorities[] = {
-    {"prod", Priority::Production}, {"high", Priority::High}, {"normal", Priority::Normal}, {"low", Priority::Low}};
+constexpr PriorityName kPriorities[] = {{"prod", Priority::Production},
+                                        {"high", Priority::High},
+                                        {"normal", Priority::Normal},
+                                        {"low", Priority::Low}};
 
 const char* state_name(JobState s) {
     switch (s) {
-        case JobState::Queued: return "queued";
-        case JobState::Running: return "running";
-        case JobState::Done: return "done";
-        case JobState::Cancelled: return "aborted";
+        case JobState::Queued:
+            return "queued";
+        case JobState::Running:
+            return "running";
+        case JobState::Done:
+            return "done";
+        case JobState::Cancelled:
+            return "aborted";
     }
     return "queued";
 }
@@ -45,7 +52,9 @@
     return std::all_of(id.begin(), id.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
 
-JobSpec parse_submission(std::string_view body, Names& names) { return parse_submission(read::parse(body), names); }
+JobSpec parse_submission(std::string_view body, Names& names) {
+    return parse_submission(read::parse(body), names);
+}
 
 JobSpec parse_submission(const json::value& v, Names& names) {
     auto& o = read::object(v);
@@ -59,7 +68,8 @@
     if (k == std::end(kKinds)) read::bad("sale_kind");
     s.kind = k->kind;
     auto priority = read::text(o, "urgency");
-    auto* p = std::find_if(std::begin(kPriorities), std::end(kPriorities), [&](auto& r) { return priority == r.wire; });
+    auto* p = std::find_if(std::begin(kPriorities), std::end(kPriorities),
+                           [&](auto& r) { return priority == r.wire; });
     if (p == std::end(kPriorities)) read::bad("urgency");
     s.priority = p->priority;
     auto tasks = read::count(o, "lots");
@@ -128,7 +138,8 @@
 }
 
 std::string job_answer(std::string_view id, JobState state) {
-    return json::serialize(json::object{{"name_id", json::string_view(id.data(), id.size())}, {"status", state_name(state)}});
+    return json::serialize(
+        json::object{{"name_id", json::string_view(id.data(), id.size())}, {"status", state_name(state)}});
 }
 
 std::string job_status(std::string_view id, JobState state, uint32_t done, uint32_t running) {
--- a/src/protocol/worker_codec.cpp
+++ b/src/protocol/worker_codec.cpp
@@ -13,13 +13,15 @@
     const char* wire;
     T value;
 };
-constexpr Named<TaskPhase> kPhases[] = {{"fetching", TaskPhase::Fetching}, {"waiting", TaskPhase::Waiting},
-                                        {"running", TaskPhase::Running},   {"saving", TaskPhase::Saving},
+constexpr Named<TaskPhase> kPhases[] = {{"fetching", TaskPhase::Fetching},
+                                        {"waiting", TaskPhase::Waiting},
+                                        {"running", TaskPhase::Running},
+                                        {"saving", TaskPhase::Saving},
                                         {"exited", TaskPhase::Exited}};
-constexpr Named<ExitCause> kCauses[] = {{"done", ExitCause::Done},     {"stopped", ExitCause::Stopped},
-                                        {"peers", ExitCause::Peers},   {"alone", ExitCause::Alone},
-                                        {"error", ExitCause::Error},   {"no_room", ExitCause::NoRoom},
-                                        {"busy", ExitCause::Busy},     {"unknown", ExitCause::Unknown}};
+constexpr Named<ExitCause> kCauses[] = {{"done", ExitCause::Done},   {"stopped", ExitCause::Stopped},
+                                        {"peers", ExitCause::Peers}, {"alone", ExitCause::Alone},
+                                        {"error", ExitCause::Error}, {"no_room", ExitCause::NoRoom},
+                                        {"busy", ExitCause::Busy},   {"unknown", ExitCause::Unknown}};
 
 template <class T, size_t N>
 T value_of(const Named<T> (&rows)[N], const json::object& o, const char* field) {
@@ -90,7 +92,8 @@
 }
 
 std::string direct_commands(uint64_t token, uint64_t session, const std::vector<Command>& commands) {
-    return json::serialize(json::object{{"gavel", token}, {"shift", session}, {"orders", command_list(commands)}});
+    return json::serialize(
+        json::object{{"gavel", token}, {"shift", session}, {"orders", command_list(commands)}});
 }
 
 std::string redirect_answer(const std::string& leader) {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -2,11 +2,11 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Util/PropertyFileConfiguration.h>
+#include <toml++/toml.h>
 
 #include <charconv>
 #include <cmath>
 #include <set>
-#include <toml++/toml.h>
 
 namespace weirmill {
 
@@ -33,8 +33,7 @@
 double need_number(toml::node_view<toml::node> node, const std::string& field, double low) {
     auto v = node.value<double>();
     if (!v || !std::isfinite(*v)) throw SettingsError("settings: " + field + " is missing or not a number");
-    if (*v < low)
-        throw SettingsError("settings: " + field + " must be at least " + std::to_string(low));
+    if (*v < low) throw SettingsError("settings: " + field + " must be at least " + std::to_string(low));
     return *v;
 }
 
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -82,7 +82,8 @@
         bool keep = false;
         unsigned version = 11;
         if (ec) {
-            if (ec == http::error::end_of_stream || ec.category() != http::make_error_code(http::error::body_limit).category())
+            if (ec == http::error::end_of_stream ||
+                ec.category() != http::make_error_code(http::error::body_limit).category())
                 co_return;
             reply.status = ec == http::error::body_limit ? 413 : 400;
             reply.body = R"({"error":"malformed request"})";
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -170,14 +170,18 @@
             auto link = std::make_shared<Link>();
             link->wire = std::make_shared<Wire>(std::move(socket));
             std::weak_ptr<Link> weak = link;
-            asio::co_spawn(io_, Wire::read_loop(link->wire, [weak](peer::Frame::Reader frame) {
-                auto link = weak.lock();
-                if (!link || !frame.isReply()) return;
-                auto it = link->waiting.find(frame.getSeq());
-                if (it == link->waiting.end()) return;
-                auto in = frame.getReply();
-                it->second.set(PeerReply{in.getStatus(), text_of(in.getBody()), in.getRetryAfterS(), in.getToken()});
-            }), asio::detached);
+            asio::co_spawn(io_,
+                           Wire::read_loop(link->wire,
+                                           [weak](peer::Frame::Reader frame) {
+                                               auto link = weak.lock();
+                                               if (!link || !frame.isReply()) return;
+                                               auto it = link->waiting.find(frame.getSeq());
+                                               if (it == link->waiting.end()) return;
+                                               auto in = frame.getReply();
+                                               it->second.set(PeerReply{in.getStatus(), text_of(in.getBody()),
+                                                                        in.getRetryAfterS(), in.getToken()});
+                                           }),
+                           asio::detached);
             link_ = link;
         }
     }
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -12,7 +12,8 @@
 namespace json = boost::json;
 
 json::object sound_submission() {
-    return json::parse(R"({"name_id":"req-000412","lot_class":"train","consignor":"red","sale_kind":"ensemble",
+    return json::parse(
+               R"({"name_id":"req-000412","lot_class":"train","consignor":"red","sale_kind":"ensemble",
         "urgency":"high","lots":16,"cores":8.0,"accelerators":1.0,"mem_gb":64.0,"bundle":"img-07","size_gb":6.2,
         "rigs":["g8"],"yard":null,"same_place":true,"scatter":false,"loaners":true,"expected_s":240.0,
         "tally_s":30.0,"bank_s":4.0,"due_s":900.0,"unheard_of":[1,2]})")
@@ -30,7 +31,8 @@
     EXPECT_EQ(first.zone, kNone);
     EXPECT_EQ(w.tables.names.teams.name(first.team), "red");
     auto again = parse_submission(json::serialize(submission_json(first, w.tables.names)), w.tables.names);
-    EXPECT_EQ(json::serialize(submission_json(again, w.tables.names)), json::serialize(submission_json(first, w.tables.names)));
+    EXPECT_EQ(json::serialize(submission_json(again, w.tables.names)),
+              json::serialize(submission_json(first, w.tables.names)));
 }
 
 struct BadSubmission {
@@ -40,17 +42,25 @@
 
 TEST(UserCodec, RefusesWhatIsMalformed) {
     const BadSubmission rows[] = {
-        {"name_id", nullptr}, {"name_id", "job-1"}, {"name_id", "req-"}, {"name_id", "req-12x"}, {"name_id", 7},
-        {"lots", 0}, {"lots", 100001}, {"lots", -1}, {"lots", 1.5}, {"lots", "3"}, {"cores", -1.0}, {"cores", "8"},
-        {"cores", nullptr}, {"mem_gb", true}, {"sale_kind", "batch"}, {"urgency", "urgent"}, {"rigs", "g8"},
-        {"rigs", json::array{1}}, {"same_place", 1}, {"loaners", nullptr}, {"bundle", ""}, {"due_s", -5.0},
+        {"name_id", nullptr},    {"name_id", "job-1"},
+        {"name_id", "req-"},     {"name_id", "req-12x"},
+        {"name_id", 7},          {"lots", 0},
+        {"lots", 100001},        {"lots", -1},
+        {"lots", 1.5},           {"lots", "3"},
+        {"cores", -1.0},         {"cores", "8"},
+        {"cores", nullptr},      {"mem_gb", true},
+        {"sale_kind", "batch"},  {"urgency", "urgent"},
+        {"rigs", "g8"},          {"rigs", json::array{1}},
+        {"same_place", 1},       {"loaners", nullptr},
+        {"bundle", ""},          {"due_s", -5.0},
         {"expected_s", nullptr}, {"consignor", nullptr},
     };
     for (auto& row : rows) {
         test::World w;
         auto o = sound_submission();
         row.value.is_null() ? (void)o.erase(row.field) : (void)(o[row.field] = row.value);
-        EXPECT_THROW(parse_submission(json::serialize(o), w.tables.names), BadMessage) << row.field << " " << row.value;
+        EXPECT_THROW(parse_submission(json::serialize(o), w.tables.names), BadMessage)
+            << row.field << " " << row.value;
     }
     test::World w;
     for (const char* text : {"", "{", "[]", "7", "null", "{\"name_id\":1e999}"})
@@ -60,7 +70,8 @@
 }
 
 TEST(WorkerCodec, ReadsReportsAndRefusesBadOnes) {
-    auto good = R"({"millstone":"vm-1","addr":"10.1.0.2:9000","rig":"g8","yard":"a","loaners":true,"shift":1,"tick":88,
+    auto good =
+        R"({"millstone":"vm-1","addr":"10.1.0.2:9000","rig":"g8","yard":"a","loaners":true,"shift":1,"tick":88,
         "gavel":41,"recall_s":null,"lots":[{"lot":"req-000412/3","try":2,"status":"running"},
         {"lot":"req-000398/0","try":1,"status":"exited","cause":"stopped","kept":true}]})";
     auto r = parse_report(good);
@@ -73,8 +84,9 @@
     EXPECT_EQ(r.tasks[1].cause, ExitCause::Stopped);
     EXPECT_TRUE(r.tasks[1].saved);
     const std::pair<const char*, const char*> swaps[] = {
-        {"\"shift\":1", "\"shift\":-1"}, {"\"tick\":88", "\"tick\":\"x\""}, {"req-000412/3", "req-000412"},
-        {"req-000412/3", "req-000412/x"}, {"\"running\"", "\"dreaming\""}, {"\"stopped\"", "\"bored\""}, {"\"lots\":[", "\"lot_s\":["}};
+        {"\"shift\":1", "\"shift\":-1"},  {"\"tick\":88", "\"tick\":\"x\""}, {"req-000412/3", "req-000412"},
+        {"req-000412/3", "req-000412/x"}, {"\"running\"", "\"dreaming\""},   {"\"stopped\"", "\"bored\""},
+        {"\"lots\":[", "\"lot_s\":["}};
     for (auto& [from, to] : swaps) {
         std::string bad = good;
         bad.replace(bad.find(from), std::string(from).size(), to);
@@ -83,26 +95,35 @@
 }
 
 TEST(WorkerCodec, WritesCommands) {
-    std::vector<Command> commands{{CommandOp::Start, "req-1", 4, 2, 0}, {CommandOp::Stop, "req-2", 1, 1, 10}, {CommandOp::Forget, "req-3", 0, 1, 0}};
+    std::vector<Command> commands{{CommandOp::Start, "req-1", 4, 2, 0},
+                                  {CommandOp::Stop, "req-2", 1, 1, 10},
+                                  {CommandOp::Forget, "req-3", 0, 1, 0}};
     auto v = json::parse(report_answer(41, commands)).as_object();
     EXPECT_EQ(v["gavel"], 41);
     EXPECT_EQ(v["orders"].as_array()[0], (json::value{{"order", "launch"}, {"lot", "req-1/4"}, {"try", 2}}));
-    EXPECT_EQ(v["orders"].as_array()[1], (json::value{{"order", "stop"}, {"lot", "req-2/1"}, {"try", 1}, {"wind_down_s", 10.0}}));
+    EXPECT_EQ(v["orders"].as_array()[1],
+              (json::value{{"order", "stop"}, {"lot", "req-2/1"}, {"try", 1}, {"wind_down_s", 10.0}}));
     EXPECT_EQ(v["orders"].as_array()[2].as_object()["order"], "clear");
     EXPECT_EQ(redirect_answer("millstone-2"), R"({"clerk":"millstone-2"})");
     EXPECT_EQ(redirect_answer(""), "{}");
 }
 
 TEST(CloudCodec, ReadsTypesAndPages) {
-    auto types = parse_machine_types(R"({"rigs":[{"label":"g8","cores":96,"accelerators":8,"mem_gb":768,"local_gb":200,
+    auto types =
+        parse_machine_types(R"({"rigs":[{"label":"g8","cores":96,"accelerators":8,"mem_gb":768,"local_gb":200,
         "fetch_gb_per_s":1.0,"hourly":12.0,"spot_price":4.5,"startup_s":45,"yards":["a","b"]}]})");
     ASSERT_EQ(types.size(), 1u);
     EXPECT_EQ(types[0].size, (Resources{96000, 8000, 768000}));
-    auto page = parse_machine_page(R"({"millstones":[{"name_id":"vm-1","addr":"h:1","rig":"g8","yard":"a","loaners":true,
+    EXPECT_TRUE(says_no_capacity(R"({"error":"no capacity"})"));
+    for (const char* other : {"", "{}", R"({"error":"trouble"})"})
+        EXPECT_FALSE(says_no_capacity(other)) << other;
+    auto page = parse_machine_page(
+        R"({"millstones":[{"name_id":"vm-1","addr":"h:1","rig":"g8","yard":"a","loaners":true,
         "status":"failed","age_s":61.5}],"has_next":true})");
     EXPECT_TRUE(page.more);
     EXPECT_EQ(page.machines[0].status, MachineStatus::Failed);
-    for (const char* bad : {"{}", "[]", R"({"rigs":[]})", R"({"rigs":[{"label":"x"}]})", R"({"millstones":[{"name_id":"vm-1"}]})"}) {
+    for (const char* bad : {"{}", "[]", R"({"rigs":[]})", R"({"rigs":[{"label":"x"}]})",
+                            R"({"millstones":[{"name_id":"vm-1"}]})"}) {
         EXPECT_THROW(parse_machine_types(bad), BadMessage) << bad;
         EXPECT_THROW(parse_machine_page(bad), BadMessage) << bad;
     }
@@ -115,7 +136,8 @@
     EXPECT_EQ(parse_failed(R"({"failed":["a/b"],"ledger":431})"), std::vector<std::string>{"a/b"});
     EXPECT_EQ(parse_revision(R"({"ledger":432})"), 432u);
     EXPECT_EQ(parse_state_item(R"({"path":"a/b","value":{},"stamp":412,"permit":7})").lease, 7u);
-    for (const char* bad : {"", "{}", R"({"ledger":-1})", R"({"ledger":"1"})"}) EXPECT_THROW(parse_revision(bad), BadMessage) << bad;
+    for (const char* bad : {"", "{}", R"({"ledger":-1})", R"({"ledger":"1"})"})
+        EXPECT_THROW(parse_revision(bad), BadMessage) << bad;
 }
 
 }  // namespace
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -14,14 +14,16 @@
 
 // Figure 5 of the Aryl paper: a on servers 1 and 2, b on 3, c on 4 and 5, d on 5 and 6.
 struct Figure5 {
-    std::vector<ClearCandidate> servers{{0, {0}, 0}, {1, {0}, 0}, {2, {1}, 0}, {3, {2}, 0}, {4, {2, 3}, 0}, {5, {3}, 0}};
+    std::vector<ClearCandidate> servers{{0, {0}, 0}, {1, {0}, 0},    {2, {1}, 0},
+                                        {3, {2}, 0}, {4, {2, 3}, 0}, {5, {3}, 0}};
     std::vector<uint32_t> spans{2, 1, 2, 2};
 };
 
 TEST(Preemption, CostsOfThePapersTable1) {
     Figure5 f;
     const double expected[] = {0.5, 0.5, 1, 0.5, 1, 0.5};
-    for (size_t i = 0; i < f.servers.size(); ++i) EXPECT_DOUBLE_EQ(preemption_cost(f.servers[i], f.spans), expected[i]) << i;
+    for (size_t i = 0; i < f.servers.size(); ++i)
+        EXPECT_DOUBLE_EQ(preemption_cost(f.servers[i], f.spans), expected[i]) << i;
 }
 
 TEST(Preemption, PicksAsInThePapersFigure5) {
@@ -31,7 +33,13 @@
         std::vector<size_t> picked;
     };
     // Server 2 costs nothing once job a is stopped; then c goes from 4, which leaves 5 with half a job.
-    const Row rows[] = {{0, {}}, {1, {0}}, {2, {0, 1}}, {3, {0, 1, 3}}, {4, {0, 1, 3, 4}}, {5, {0, 1, 3, 4, 5}}, {9, {0, 1, 3, 4, 5, 2}}};
+    const Row rows[] = {{0, {}},
+                        {1, {0}},
+                        {2, {0, 1}},
+                        {3, {0, 1, 3}},
+                        {4, {0, 1, 3, 4}},
+                        {5, {0, 1, 3, 4, 5}},
+                        {9, {0, 1, 3, 4, 5, 2}}};
     for (auto& row : rows) EXPECT_EQ(pick_cheapest(f.servers, f.spans, row.n), row.picked) << row.n;
 }
 
@@ -102,7 +110,8 @@
     auto small = w.job(w.spec("req-2", JobKind::Array, 2, 3));
     auto needs_gpu = w.job(w.spec("req-3", JobKind::Array, 1, 1, 1, Priority::Low));
     auto placed = place_waiting(w.tables, any_machine, w.now);
-    EXPECT_EQ(placed, (std::vector<Placement>{{small, 0, fuller, 1}, {small, 1, empty, 1}, {needs_gpu, 0, gpu, 1}}));
+    EXPECT_EQ(placed,
+              (std::vector<Placement>{{small, 0, fuller, 1}, {small, 1, empty, 1}, {needs_gpu, 0, gpu, 1}}));
 }
 
 TEST(Placement, PrefersTheMachineThatHasTheImage) {
@@ -121,8 +130,10 @@
         bool spot;
         size_t placed;
     };
-    const Row rows[] = {{"all as asked", "std", "a", false, 1}, {"other type", "gpu", "a", false, 0},
-                        {"other zone", "std", "b", false, 0}, {"spot", "std", "a", true, 0}};
+    const Row rows[] = {{"all as asked", "std", "a", false, 1},
+                        {"other type", "gpu", "a", false, 0},
+                        {"other zone", "std", "b", false, 0},
+                        {"spot", "std", "a", true, 0}};
     for (auto& row : rows) {
         World w;
         w.machine("m0", row.type, row.zone, row.spot);
@@ -142,7 +153,8 @@
     auto s = w.spec("req-1", JobKind::Gang, 2, 7);
     s.one_zone = true;
     auto j = w.job(s);
-    EXPECT_EQ(place_waiting(w.tables, any_machine, w.now), (std::vector<Placement>{{j, 0, b0, 1}, {j, 1, b1, 1}}));
+    EXPECT_EQ(place_waiting(w.tables, any_machine, w.now),
+              (std::vector<Placement>{{j, 0, b0, 1}, {j, 1, b1, 1}}));
     s.id = "req-2";
     w.job(s);
     EXPECT_TRUE(place_waiting(w.tables, any_machine, w.now).empty());
@@ -191,7 +203,7 @@
     for (int i = 0; i < 6; ++i) w.machine("m" + std::to_string(i));
     auto j = w.job(w.spec("req-1", JobKind::Array, 6, 8, 0, Priority::Normal, "red"));
     EXPECT_EQ(place_waiting(w.tables, any_machine, w.now).size(), 4u);  // 32 CPUs at most
-    w.tables.jobs[j]->tasks[0].stopping = true;                        // told to stop is not gone
+    w.tables.jobs[j]->tasks[0].stopping = true;                         // told to stop is not gone
     EXPECT_TRUE(place_waiting(w.tables, any_machine, w.now).empty());
     w.tables.finish(j, 0, w.now);
     EXPECT_EQ(place_waiting(w.tables, any_machine, w.now).size(), 1u);
@@ -243,14 +255,17 @@
     s.estimate_s = 300;
     s.deadline_s = 330;  // too long, and too urgent, to be run one after the other
     w.job(s);
-    EXPECT_EQ(plan_rentals(w.tables, any_machine, {}, w.now), (std::vector<Rental>{{std_type, zone_a, true, 3}}));
+    EXPECT_EQ(plan_rentals(w.tables, any_machine, {}, w.now),
+              (std::vector<Rental>{{std_type, zone_a, true, 3}}));
     // A machine that is coming up already counts, whether the list shows it or not.
     auto& m = *w.tables.machines[w.machine("m0", "std", "a", true)];
     m.up = false;
-    EXPECT_EQ(plan_rentals(w.tables, any_machine, {}, w.now), (std::vector<Rental>{{std_type, zone_a, true, 2}}));
+    EXPECT_EQ(plan_rentals(w.tables, any_machine, {}, w.now),
+              (std::vector<Rental>{{std_type, zone_a, true, 2}}));
     // Refused there: the next cheapest offer.
     w.tables.refusals.push_back({w.now + 10, {std_type, zone_a, true}});
-    EXPECT_EQ(plan_rentals(w.tables, any_machine, {}, w.now), (std::vector<Rental>{{std_type, zone_b, true, 2}}));
+    EXPECT_EQ(plan_rentals(w.tables, any_machine, {}, w.now),
+              (std::vector<Rental>{{std_type, zone_b, true, 2}}));
 }
 
 TEST(Sizing, AJobBoundToOneZoneIsNotKeptInAZoneThatIsFull) {
@@ -268,7 +283,8 @@
     s.id = "req-2";
     w.job(s);
     w.tables.refusals.push_back({w.now + 10, {std_type, zone_a, false}});
-    EXPECT_EQ(plan_rentals(w.tables, any_machine, {}, w.now), (std::vector<Rental>{{std_type, zone_b, false, 1}}));
+    EXPECT_EQ(plan_rentals(w.tables, any_machine, {}, w.now),
+              (std::vector<Rental>{{std_type, zone_b, false, 1}}));
 }
 
 TEST(Sizing, AMachineJustRentedIsNotRentedAgain) {
@@ -281,7 +297,8 @@
     auto& m = *w.tables.machines[w.machine("m0", "std", "a", true)];
     m.up = false;
     m.rented = w.now;
-    for (double later : {0.0, 0.5, 10.0, 29.0, 40.0}) EXPECT_TRUE(plan_rentals(w.tables, any_machine, {}, w.now + later).empty()) << later;
+    for (double later : {0.0, 0.5, 10.0, 29.0, 40.0})
+        EXPECT_TRUE(plan_rentals(w.tables, any_machine, {}, w.now + later).empty()) << later;
 }
 
 TEST(Sizing, WaitsForRoomThatComesSoonerThanANewMachine) {
@@ -300,7 +317,8 @@
         s.id = "req-2";
         s.deadline_s = row.deadline_s;
         w.job(s);
-        EXPECT_EQ(plan_rentals(w.tables, any_machine, {}, w.now).size(), row.rentals) << row.left_s << " " << row.deadline_s;
+        EXPECT_EQ(plan_rentals(w.tables, any_machine, {}, w.now).size(), row.rentals)
+            << row.left_s << " " << row.deadline_s;
     }
 }
 
@@ -327,7 +345,8 @@
 
 TEST(Sizing, ReturnsIdleGivenUpAndFailedMachines) {
     World w;
-    auto idle = w.machine("idle"), busy = w.machine("busy"), doomed = w.machine("doomed"), fresh = w.machine("fresh");
+    auto idle = w.machine("idle"), busy = w.machine("busy"), doomed = w.machine("doomed"),
+         fresh = w.machine("fresh");
     w.running(w.spec("req-1", JobKind::Array, 1, 1), {busy});
     w.tables.machines[doomed]->doomed = true;
     w.now += 61;
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -117,12 +117,14 @@
 }
 
 TEST(Ledger, RefusesRecordsThatMakeNoSense) {
-    for (const char* value : {"[]", R"({"placed":[[0,1,1,0]]})", R"({"placed":[[9,1,1,0]],"machines":["m"]})",
-                              R"({"done":[[0,7]]})", R"({"tried":[["x",1]]})", R"({"placed":[[0,1,1,3]],"machines":["m"]})"}) {
+    for (const char* value :
+         {"[]", R"({"placed":[[0,1,1,0]]})", R"({"placed":[[9,1,1,0]],"machines":["m"]})",
+          R"({"done":[[0,7]]})", R"({"tried":[["x",1]]})", R"({"placed":[[0,1,1,3]],"machines":["m"]})"}) {
         World w;
         Ledger ledger(w.tables, 41, 12);
         w.job(w.spec("req-1", JobKind::Array, 2, 1));
-        EXPECT_THROW(ledger.load_chunk({"t/req-1/0", boost::json::parse(value), 5, 0}, w.now), BadMessage) << value;
+        EXPECT_THROW(ledger.load_chunk({"t/req-1/0", boost::json::parse(value), 5, 0}, w.now), BadMessage)
+            << value;
     }
 }
 
@@ -148,7 +150,8 @@
         double grace = answering_grace(s);
         EXPECT_GE(grace, 0);
         EXPECT_TRUE(grace == 0 || grace + s.lease_s * (1 + kDrift) + kMargin_s < s.cancel_s) << row.cancel_s;
-        // What an earlier leader answered last, at won + grace, has run out by the time that a task is taken for gone.
+        // What an earlier leader answered last, at won + grace, has run out by the time that a task is taken
+        // for gone.
         EXPECT_GT(earlier_leader_expiry(s, 1000), 1000 + grace + s.lease_s * (1 + kDrift));
         EXPECT_GT(answered_expiry(s, 1000), 1000 + s.lease_s * (1 + kDrift));
         // A slow clock of ours against a true one of the state service: still sure too short, never too long.
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -44,7 +44,9 @@
         for (int i = 0; i < count; ++i) add_node(i);
         for (int i = 0; i < count; ++i)
             for (int k = 0; k < count; ++k)
-                if (i != k) settings[i]->peers.push_back({settings[k]->name, "a", {"127.0.0.1", nodes[k]->peer_port()}});
+                if (i != k)
+                    settings[i]->peers.push_back(
+                        {settings[k]->name, "a", {"127.0.0.1", nodes[k]->peer_port()}});
     }
     ~Service() {
         // The cases end in the middle of things: what still waits is dropped with its io_context.
@@ -86,14 +88,17 @@
         }
         return {};
     }
-    std::optional<HttpAnswer> ask_node(size_t i, const char* method, const std::string& target, const std::string& body) {
-        auto client = std::make_shared<HttpClient>(io, Endpoint{"127.0.0.1", nodes[i]->api_port()}, 1024 * 1024);
+    std::optional<HttpAnswer> ask_node(size_t i, const char* method, const std::string& target,
+                                       const std::string& body) {
+        auto client =
+            std::make_shared<HttpClient>(io, Endpoint{"127.0.0.1", nodes[i]->api_port()}, 1024 * 1024);
         auto out = std::make_shared<std::optional<HttpAnswer>>();
         auto over = std::make_shared<bool>(false);
         asio::co_spawn(
             io,
             [](std::shared_ptr<HttpClient> client, const char* method, std::string target, std::string body,
-               std::shared_ptr<std::optional<HttpAnswer>> out, std::shared_ptr<bool> over) -> asio::awaitable<void> {
+               std::shared_ptr<std::optional<HttpAnswer>> out,
+               std::shared_ptr<bool> over) -> asio::awaitable<void> {
                 *out = co_await client->request(method, target, body, 5);
                 *over = true;
             }(client, method, target, body, out, over),
@@ -101,11 +106,25 @@
         until([&] { return *over; });
         return *out;
     }
-    static std::string submission(const std::string& id, const std::string& kind, int tasks, double cpus = 1) {
-        return json::serialize(json::object{
-            {"name_id", id}, {"lot_class", "c"}, {"consignor", "blue"}, {"sale_kind", kind}, {"urgency", "normal"},
-            {"lots", tasks}, {"cores", cpus}, {"accelerators", 0.0}, {"mem_gb", 1.0}, {"bundle", "i"}, {"size_gb", 1.0},
-            {"same_place", false}, {"scatter", false}, {"loaners", true}, {"expected_s", 1.0}, {"tally_s", 0.0}, {"bank_s", 0.0}});
+    static std::string submission(const std::string& id, const std::string& kind, int tasks,
+                                  double cpus = 1) {
+        return json::serialize(json::object{{"name_id", id},
+                                            {"lot_class", "c"},
+                                            {"consignor", "blue"},
+                                            {"sale_kind", kind},
+                                            {"urgency", "normal"},
+                                            {"lots", tasks},
+                                            {"cores", cpus},
+                                            {"accelerators", 0.0},
+                                            {"mem_gb", 1.0},
+                                            {"bundle", "i"},
+                                            {"size_gb", 1.0},
+                                            {"same_place", false},
+                                            {"scatter", false},
+                                            {"loaners", true},
+                                            {"expected_s", 1.0},
+                                            {"tally_s", 0.0},
+                                            {"bank_s", 0.0}});
     }
     int submit(const std::string& id, const std::string& kind, int tasks, standin::Job job = {}) {
         job.gang = kind == "ensemble";
@@ -115,7 +134,8 @@
     }
     std::string status(const std::string& id) {
         auto a = ask("GET", "/v2/runs/" + id);
-        return a.status == 200 ? std::string(json::parse(a.body).at("status").as_string()) : std::to_string(a.status);
+        return a.status == 200 ? std::string(json::parse(a.body).at("status").as_string())
+                               : std::to_string(a.status);
     }
     bool done(const std::string& id) {
         return until([&] { return state->keys().count("f/" + id) > 0; }) && status(id) == "done";
@@ -156,11 +176,14 @@
         {"GET", "/healthz", "", 200},
         {"GET", "/metrics", "", 200},
     };
-    for (auto& row : rows) EXPECT_EQ(s.ask(row.method, row.target, row.body).status, row.status) << row.target << " " << row.body.substr(0, 80);
+    for (auto& row : rows)
+        EXPECT_EQ(s.ask(row.method, row.target, row.body).status, row.status)
+            << row.target << " " << row.body.substr(0, 80);
     EXPECT_EQ(s.status("req-1"), "done");
     auto metrics = s.ask("GET", "/metrics").body;
-    for (const char* line : {"weirmill_requests_total{kind=\"submit\",status=\"201\"} 2\n", "weirmill_leading 1\n",
-                             "weirmill_request_seconds_bucket{kind=\"cancel\",le=\"+Inf\"} 2\n"})
+    for (const char* line :
+         {"weirmill_requests_total{kind=\"submit\",status=\"201\"} 2\n", "weirmill_leading 1\n",
+          "weirmill_request_seconds_bucket{kind=\"cancel\",le=\"+Inf\"} 2\n"})
         EXPECT_NE(metrics.find(line), std::string::npos) << line << metrics;
     EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
 }
@@ -188,7 +211,8 @@
     EXPECT_TRUE(s.done("req-1"));
     auto page = s.ask_node(1 - leader, "GET", "/metrics", "");
     ASSERT_TRUE(page);
-    EXPECT_NE(page->body.find("weirmill_requests_total{kind=\"report\",status=\"200\"}"), std::string::npos) << page->body;
+    EXPECT_NE(page->body.find("weirmill_requests_total{kind=\"report\",status=\"200\"}"), std::string::npos)
+        << page->body;
     EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
 }
 
@@ -226,7 +250,8 @@
     int status = s.submit("req-2", "array", 2);
     EXPECT_TRUE(status == 200 || status == 201) << status;
     EXPECT_TRUE(s.done("req-2"));
-    for (auto& [key, value] : s.state->keys()) EXPECT_FALSE(key.starts_with("j/") || key.starts_with("t/")) << key;
+    for (auto& [key, value] : s.state->keys())
+        EXPECT_FALSE(key.starts_with("j/") || key.starts_with("t/")) << key;
     EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
 }
 
--- a/tests/standin/standins.cpp
+++ b/tests/standin/standins.cpp
@@ -17,7 +17,8 @@
 
 }  // namespace
 
-State::State(asio::io_context& io) : server_(io, kLoopback, 1000, [this](HttpRequest r) { return handle(std::move(r)); }) {}
+State::State(asio::io_context& io)
+    : server_(io, kLoopback, 1000, [this](HttpRequest r) { return handle(std::move(r)); }) {}
 
 std::map<std::string, json::value> State::keys() const {
     std::map<std::string, json::value> out;
@@ -134,9 +135,16 @@
     co_return answer(400, json::object{});
 }
 
-Worker::Worker(asio::io_context& io, Cloud& cloud, std::string name, std::string type, std::string zone, bool spot)
-    : name(std::move(name)), type(std::move(type)), zone(std::move(zone)), spot(spot), io_(io), cloud_(cloud),
-      lease_from_(steady_now()), server_(io, kLoopback, 100, [this](HttpRequest r) { return handle(std::move(r)); }) {}
+Worker::Worker(asio::io_context& io, Cloud& cloud, std::string name, std::string type, std::string zone,
+               bool spot)
+    : name(std::move(name)),
+      type(std::move(type)),
+      zone(std::move(zone)),
+      spot(spot),
+      io_(io),
+      cloud_(cloud),
+      lease_from_(steady_now()),
+      server_(io, kLoopback, 100, [this](HttpRequest r) { return handle(std::move(r)); }) {}
 
 void Worker::start() { asio::co_spawn(io_, live(shared_from_this()), asio::detached); }
 
@@ -148,8 +156,9 @@
         if (t.saved) o["kept"] = true;
         lots.push_back(std::move(o));
     }
-    return {{"millstone", name}, {"addr", addr()}, {"rig", type}, {"yard", zone}, {"loaners", spot},
-            {"shift", session_}, {"tick", ++seq_}, {"gavel", token_}, {"recall_s", nullptr}, {"lots", lots}};
+    return {{"millstone", name},   {"addr", addr()},    {"rig", type},    {"yard", zone},
+            {"loaners", spot},     {"shift", session_}, {"tick", ++seq_}, {"gavel", token_},
+            {"recall_s", nullptr}, {"lots", lots}};
 }
 
 void Worker::step() {
@@ -181,7 +190,8 @@
                 continue;
             }
             for (auto& [n, other] : cloud_.workers)
-                if (other.get() != this && !other->dead() && other->tasks_.count(lot) && other->tasks_[lot].state != "exited")
+                if (other.get() != this && !other->dead() && other->tasks_.count(lot) &&
+                    other->tasks_[lot].state != "exited")
                     cloud_.broken.push_back("ran_twice " + lot);
             auto job = lot.substr(0, lot.rfind('/'));
             ++cloud_.starts[lot];
@@ -241,7 +251,9 @@
 }
 
 Cloud::Cloud(asio::io_context& io, const Settings& s)
-    : settings(s), io_(io), server_(io, kLoopback, 1000, [this](HttpRequest r) { return handle(std::move(r)); }) {}
+    : settings(s),
+      io_(io),
+      server_(io, kLoopback, 1000, [this](HttpRequest r) { return handle(std::move(r)); }) {}
 
 bool Cloud::on_some_machine(const std::string& job) const {
     for (auto& [n, w] : workers)
@@ -253,7 +265,8 @@
 asio::awaitable<HttpReply> Cloud::handle(HttpRequest r) {
     std::string path = r.target.substr(0, r.target.find('?'));
     if (path == "/machine_types")
-        co_return HttpReply{200, R"({"rigs":[{"label":"std","cores":8,"accelerators":0,"mem_gb":64,"local_gb":50,
+        co_return HttpReply{200,
+                            R"({"rigs":[{"label":"std","cores":8,"accelerators":0,"mem_gb":64,"local_gb":50,
             "fetch_gb_per_s":1.0,"hourly":1.0,"spot_price":0.5,"startup_s":20,"yards":["a","b"]}]})"};
     if (path == "/machines/return") {
         for (auto& v : json::parse(r.body).at("millstones").as_array()) {
@@ -270,8 +283,9 @@
         for (int i = 0; i < v.at("count").to_number<int>(); ++i) {
             char name[16];
             std::snprintf(name, sizeof name, "vm-%06d", next_++);
-            auto w = std::make_shared<Worker>(io_, *this, name, std::string(v.at("rig").as_string()),
-                                              std::string(v.at("yard").as_string()), v.at("loaners").as_bool());
+            auto w =
+                std::make_shared<Worker>(io_, *this, name, std::string(v.at("rig").as_string()),
+                                         std::string(v.at("yard").as_string()), v.at("loaners").as_bool());
             workers[name] = w;
             w->start();
             names.emplace_back(name);
@@ -282,8 +296,13 @@
     json::array list;
     for (auto& [n, w] : workers)
         if (!w->dead())
-            list.push_back(json::object{{"name_id", n}, {"addr", w->addr()}, {"rig", w->type}, {"yard", w->zone},
-                                        {"loaners", w->spot}, {"status", "running"}, {"age_s", 1.0}});
+            list.push_back(json::object{{"name_id", n},
+                                        {"addr", w->addr()},
+                                        {"rig", w->type},
+                                        {"yard", w->zone},
+                                        {"loaners", w->spot},
+                                        {"status", "running"},
+                                        {"age_s", 1.0}});
     co_return answer(200, json::object{{"millstones", list}, {"has_next", false}});
 }
 
--- a/tests/standin/standins.h
+++ b/tests/standin/standins.h
@@ -24,9 +24,9 @@
     explicit State(asio::io_context& io);
     Endpoint at() const { return {"127.0.0.1", server_.port()}; }
 
-    bool down = false;             // 503 to all; leases have their full time again afterwards
-    int lose_txn_answers = 0;      // the next transactions are executed, but not answered in time
-    int delay_txns = 0;            // the next transactions are executed late, after their sender gave up
+    bool down = false;         // 503 to all; leases have their full time again afterwards
+    int lose_txn_answers = 0;  // the next transactions are executed, but not answered in time
+    int delay_txns = 0;        // the next transactions are executed late, after their sender gave up
     std::map<std::string, json::value> keys() const;
     void end_outage();
 
@@ -61,7 +61,8 @@
 // One machine's worker: reports to the controllers and runs tasks.
 class Worker : public std::enable_shared_from_this<Worker> {
   public:
-    Worker(asio::io_context& io, Cloud& cloud, std::string name, std::string type, std::string zone, bool spot);
+    Worker(asio::io_context& io, Cloud& cloud, std::string name, std::string type, std::string zone,
+           bool spot);
     void start();
     void kill() { dead_ = true, tasks_.clear(); }
     bool dead() const { return dead_; }
@@ -100,14 +101,14 @@
     Cloud(asio::io_context& io, const Settings& settings);
     Endpoint at() const { return {"127.0.0.1", server_.port()}; }
 
-    std::vector<Endpoint> nodes;       // where workers report
+    std::vector<Endpoint> nodes;  // where workers report
     std::vector<std::string> node_names;
-    std::map<std::string, Job> jobs;   // what users uploaded for the workers
+    std::map<std::string, Job> jobs;  // what users uploaded for the workers
     std::map<std::string, std::shared_ptr<Worker>> workers;
-    std::vector<std::string> broken;   // rules
-    std::map<std::string, int> starts; // by task
+    std::vector<std::string> broken;    // rules
+    std::map<std::string, int> starts;  // by task
     std::set<std::string> hires;
-    bool held_starts = false;          // launches are received but not executed until this ends
+    bool held_starts = false;  // launches are received but not executed until this ends
     const Settings& settings;
     bool on_some_machine(const std::string& job) const;
 
