--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -128,6 +128,57 @@
     }
 }
 
+TEST(Ledger, TheLargestJobFitsTheSmallestLimits) {
+    World w;
+    Ledger ledger(w.tables, 41, 12);
+    auto j = w.job(w.spec("req-1", JobKind::Array, 100000, 0.001));
+    auto m = w.machine("vm-000001");
+    for (uint32_t t = 0; t < 100000; ++t) w.tables.place(j, t, m, 1000000, w.now);
+    size_t chunks = 0;
+    while (ledger.waiting()) {
+        auto b = ledger.next(12);
+        ASSERT_FALSE(b.empty());
+        EXPECT_LE(b.txn.changes.size(), 12u);
+        EXPECT_LE(b.txn.conditions.size(), 48u);
+        EXPECT_LE(txn_json(b.txn).size(), 64u * 1024);
+        for (auto& c : b.txn.changes) EXPECT_LE(c.value.size(), 4096u);
+        chunks += b.txn.changes.size();
+        ledger.committed(b, 60);
+    }
+    EXPECT_EQ(chunks, w.tables.jobs[j]->chunks.size());
+    // Its end is one transaction; chunks that it can't hold are swept by later ones.
+    for (uint32_t t = 0; t < 100000; ++t) w.tables.jobs[j]->tasks[t].state = TaskState::Done;
+    w.tables.jobs[j]->ending = true;
+    ledger.finish(j);
+    size_t swept = 0;
+    while (ledger.waiting()) {
+        auto b = ledger.next(12);
+        ASSERT_FALSE(b.empty());
+        for (auto& c : b.txn.changes) swept += c.key.starts_with("t/") && c.value.empty();
+        ledger.committed(b, 70);
+    }
+    EXPECT_EQ(swept, chunks);
+}
+
+TEST(Ledger, OfANoteTheNewestValueIsRecorded) {
+    // The machine types are such a note: without them a new leader could not decide while the cloud is down.
+    World w;
+    Ledger ledger(w.tables, 41, 12);
+    ledger.load_note(kTypesKey, 9);
+    ledger.note(kTypesKey, R"({"n":1})");
+    auto b = ledger.next(12);
+    EXPECT_EQ(condition(b, kTypesKey), 9u);
+    ledger.note(kTypesKey, R"({"n":2})");
+    ledger.rejected(b);
+    b = ledger.next(12);
+    ASSERT_EQ(b.txn.changes.size(), 1u);
+    EXPECT_EQ(b.txn.changes[0].value, R"({"n":2})");
+    ledger.committed(b, 50);
+    EXPECT_FALSE(ledger.waiting());
+    ledger.note(kTypesKey, R"({"n":3})");
+    EXPECT_EQ(condition(ledger.next(12), kTypesKey), 50u);
+}
+
 TEST(Ledger, SweepsChunksOfJobsThatHaveEnded) {
     World w;
     Ledger ledger(w.tables, 41, 12);
