--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -63,7 +63,6 @@
 
 // Smaller is a better fit. GPUs are not spent on tasks that need none while there is another place.
 auto fit(const Tables& tables, const Job& job, const Machine& m) {
-    (void)tables;
     auto left = m.room() - job.spec.need;
     bool wasted_gpus = job.spec.need.gpu == 0 && m.size.gpu > 0;
     int64_t rest = job.spec.need.gpu > 0 ? left.gpu : left.cpu;
