--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 constexpr size_t kMostArrivals = 64;
-}
+constexpr size_t kMostClasses =
+    1000;  // names of classes are the users' own: further ones are not learnt from
+}  // namespace
 
 Tables::Tables(const Settings& settings) {
     for (auto& t : settings.teams) {
@@ -42,11 +44,13 @@
     job->seen_at = now;
     job->spec = std::move(spec);
     task_count += job->tasks.size();
-    if (classes.size() <= job->spec.job_class) classes.resize(job->spec.job_class + 1);
-    auto& c = classes[job->spec.job_class];
-    c.arrivals.emplace_back(now, job->spec.tasks);
-    if (c.arrivals.size() > kMostArrivals) c.arrivals.pop_front();
-    c.last = job->spec;
+    if (job->spec.job_class < kMostClasses) {
+        if (classes.size() <= job->spec.job_class) classes.resize(job->spec.job_class + 1);
+        auto& c = classes[job->spec.job_class];
+        c.arrivals.emplace_back(now, job->spec.tasks);
+        if (c.arrivals.size() > kMostArrivals) c.arrivals.pop_front();
+        c.last = job->spec;
+    }
     if (auto& need = job->spec.need; need.gpu >= 1000) {
         Resources share{need.cpu * 1000 / need.gpu, 1000, need.mem * 1000 / need.gpu};
         if (per_gpu.gpu == 0) per_gpu = share;
@@ -231,8 +235,7 @@
 
 // The geometric mean over recent tasks, starting from the owners' word.
 void Tables::learn_run(const JobSpec& spec, double run_s) {
-    if (spec.estimate_s <= 0 || run_s <= 0) return;
-    if (classes.size() <= spec.job_class) classes.resize(spec.job_class + 1);
+    if (spec.estimate_s <= 0 || run_s <= 0 || spec.job_class >= classes.size()) return;
     auto& c = classes[spec.job_class];
     double ratio = std::clamp(run_s / spec.estimate_s, 0.2, 5.0);
     // Tasks of one job share its error: a task of a large job says less.
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -64,7 +64,8 @@
 }
 
 asio::awaitable<PeerReply> Leader::ask(PeerCall call) {
-    if (!ready_) co_return come_back();
+    // Half of the mailbox is kept for what comes back from outside: none of that may be lost.
+    if (!ready_ || queued_ > kMailbox / 2) co_return come_back();
     Reply reply(io_.get_executor());
     bool is_report = call.op == PeerOp::Report;
     post(Asked{std::move(call), reply});
@@ -94,8 +95,13 @@
 
 void Leader::post(Message m) {
     if (stopped_) return;
-    if (!mailbox_.try_send(boost::system::error_code(), std::move(m)))
-        spdlog::error("leader: mailbox full, message dropped");
+    if (mailbox_.try_send(boost::system::error_code(), std::move(m))) {
+        ++queued_;
+        return;
+    }
+    // Without an outcome that was lost, this leader would wait for ever: the next one starts afresh.
+    spdlog::error("leader: mailbox full, giving up the leadership");
+    tenure_->ended = true;
 }
 
 asio::awaitable<void> Leader::run(std::shared_ptr<Leader> self) {
@@ -118,6 +124,7 @@
     while (!stopped_) {
         auto [ec, message] = co_await mailbox_.async_receive(asio::as_tuple(asio::use_awaitable));
         if (ec) break;
+        --queued_;
         now_ = steady_now();
         std::visit([this](auto& m) { handle(m); }, message);
         if (stopped_) break;
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -148,6 +148,7 @@
     Tables tables_;
     Ledger ledger_;
     std::mt19937_64 random_;
+    size_t queued_ = 0;  // messages in the mailbox
     bool ready_ = false, stopped_ = false;
     double now_ = 0;
 
