--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -28,8 +28,8 @@
         if (o.kind == "wait")
             c.start_within_s = c.start_within_s > 0 ? std::min(c.start_within_s, o.within_s) : o.within_s;
         if (o.kind == "finished") c.done_within_s.push_back(o.within_s);
-        std::sort(c.done_within_s.begin(), c.done_within_s.end());
     }
+    for (auto& c : classes) std::sort(c.done_within_s.begin(), c.done_within_s.end());
     // A placed task takes at most some 60 bytes of its chunk's value.
     chunk_tasks = std::max(8u, static_cast<uint32_t>(settings.value_kb * 1024 / 64) - 4);
     max_tasks = static_cast<size_t>(settings.mem_mb * 1e6 * 0.3 / sizeof(Task));
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -1,5 +1,6 @@
 // What the leader knows: jobs, machines, teams, machine types. Plain tables, no input or output.
 #pragma once
+#include <algorithm>
 #include <deque>
 #include <memory>
 #include <set>
@@ -25,6 +26,9 @@
     TaskPhase phase = TaskPhase::Unseen;
     bool stopping = false;
     bool graceful = false;  // stopping: with time to save
+    bool placed_as(Index on, uint64_t as_attempt) const {
+        return state == TaskState::Placed && machine == on && attempt == as_attempt;
+    }
 };
 
 // Tasks are recorded in chunks, each one key of the state service.
@@ -96,6 +100,9 @@
     double reserved_until = 0;
     std::vector<Index> images;  // observed, most recent last
     Resources room() const { return size - used; }
+    bool has_image(Index image) const {
+        return std::find(images.begin(), images.end(), image) != images.end();
+    }
 };
 
 struct Team {
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -27,6 +27,16 @@
     return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
+// The condition on the leadership is among those that failed.
+bool names_leader(const std::vector<std::string>& failed) {
+    return std::find(failed.begin(), failed.end(), kLeaderKey) != failed.end();
+}
+
+// What a stop allows the task: time to save, with some to spare, or none.
+double stop_grace_s(const Job& job, const Task& task) {
+    return task.graceful ? job.spec.save_s * 1.25 + 1 : 0;
+}
+
 }  // namespace
 
 Leader::Leader(asio::io_context& io, const Settings& settings, const Properties& properties,
@@ -392,8 +402,7 @@
         auto result = co_await state_.txn(batch.txn, 1.0);
         if (stopped_) co_return;
         if (result.outcome == StateOutcome::Conflict && unsure) {
-            bool deposed =
-                std::find(result.failed.begin(), result.failed.end(), kLeaderKey) != result.failed.end();
+            bool deposed = names_leader(result.failed);
             // The copy without an answer may have been applied: then its keys say so. Nobody else may write
             // them.
             auto write = std::find_if(batch.txn.changes.begin(), batch.txn.changes.end(),
@@ -466,8 +475,7 @@
         release_held(false);
         return;
     }
-    bool deposed =
-        std::find(m.result.failed.begin(), m.result.failed.end(), kLeaderKey) != m.result.failed.end();
+    bool deposed = names_leader(m.result.failed);
     if (deposed) {
         spdlog::info("leader: deposed, a transaction found another leader");
         tenure_->ended = true;
@@ -521,13 +529,12 @@
 
 bool Leader::usable(const Machine& m) const {
     return m.up && !m.returning && !m.doomed && !m.closing && m.notice_until < 0 &&
-           m.quarantined_until <= now_ && now_ - m.last_report < 2.2 * settings_.report_s + 1 &&
+           m.quarantined_until <= now_ && now_ - m.last_report < silence_s() &&
            m.type < tables_.types.size() && tables_.types[m.type].offered;
 }
 
 void Leader::report(PeerCall& call, Reply& reply) {
-    if (tenure_->ended || now_ > tenure_->sure_until + answering_grace(settings_))
-        return reply.set({503, "{}"});
+    if (tenure_->ended || past_grace()) return reply.set({503, "{}"});
     Report r;
     try {
         r = parse_report(call.body);
@@ -623,7 +630,7 @@
         auto& job = *tables_.jobs[it->second];
         if (t.task < job.tasks.size()) {
             auto& task = job.tasks[t.task];
-            expected = task.state == TaskState::Placed && task.machine == index && task.attempt == t.attempt;
+            expected = task.placed_as(index, t.attempt);
             if (expected && !exited) {
                 if (t.phase == TaskPhase::Running && task.phase != TaskPhase::Running && task.running_at == 0)
                     task.running_at = static_cast<float>(now_);
@@ -753,8 +760,7 @@
     task.stopping = true;
     task.graceful = graceful && job.spec.checkpoint_s > 0;
     if (job.spec.kind == JobKind::Gang) job.gang_ending = true;
-    direct_[task.machine].push_back(
-        {CommandOp::Stop, job.spec.id, t, task.attempt, task.graceful ? job.spec.save_s * 1.25 + 1 : 0});
+    direct_[task.machine].push_back({CommandOp::Stop, job.spec.id, t, task.attempt, stop_grace_s(job, task)});
 }
 
 // A stop is sent straight to its worker as well, so that a gang hears of it within gang_peer_s. A late
@@ -826,8 +832,7 @@
                 bool expected = false;
                 if (it != tables_.job_index.end() && e.task < tables_.jobs[it->second]->tasks.size()) {
                     auto& task = tables_.jobs[it->second]->tasks[e.task];
-                    expected =
-                        task.state == TaskState::Placed && task.machine == index && task.attempt == e.attempt;
+                    expected = task.placed_as(index, e.attempt);
                 }
                 if (!expected) commands.push_back({CommandOp::Stop, e.job, e.task, e.attempt, 0});
                 continue;
@@ -838,8 +843,7 @@
                     auto& task = job.tasks[e.task];
                     // Once cleared, the worker no longer knows the attempt: its outcome must stand recorded.
                     if (job.ending || !tables_.recorded(job, e.task)) continue;
-                    if (task.state == TaskState::Placed && task.machine == index && task.attempt == e.attempt)
-                        continue;
+                    if (task.placed_as(index, e.attempt)) continue;
                 }
             }
             commands.push_back({CommandOp::Forget, e.job, e.task, e.attempt, 0});
@@ -850,8 +854,8 @@
         auto& task = job.tasks[ref.task];
         if (task.stopping) {
             if (task.phase == TaskPhase::Saving && task.graceful) continue;
-            commands.push_back({CommandOp::Stop, job.spec.id, ref.task, task.attempt,
-                                task.graceful ? job.spec.save_s * 1.25 + 1 : 0});
+            commands.push_back(
+                {CommandOp::Stop, job.spec.id, ref.task, task.attempt, stop_grace_s(job, task)});
         } else if (task.phase == TaskPhase::Unseen && may_start && job.active() &&
                    task.session == m.session && m.notice_until < 0 && !m.returning &&
                    tables_.recorded(job, ref.task)) {
@@ -896,7 +900,7 @@
 }
 
 void Leader::check_machines() {
-    if (now_ > tenure_->sure_until + answering_grace(settings_)) deaf_at_ = now_;
+    if (past_grace()) deaf_at_ = now_;
     for (Index i = 0; i < tables_.machines.size(); ++i) {
         auto* m = tables_.machines[i].get();
         if (!m) continue;
@@ -928,7 +932,7 @@
         }
         // Silent, and no longer listed: taken, as it seems. To return it costs nothing and proves it gone,
         // long before its lease would.
-        bool silent = now_ - std::max(m->last_report, tenure_->won) > 2.2 * settings_.report_s + 1;
+        bool silent = now_ - std::max(m->last_report, tenure_->won) > silence_s();
         bool unlisted =
             listed_once_ && (m->listed ? m->missing : now_ - m->added > 2 * settings_.list_lag_s + 1);
         if (silent && unlisted && !m->doomed && (m->up || !m->tasks.empty())) {
@@ -1009,7 +1013,7 @@
             asio::co_spawn(io_, give_back(shared_from_this(), std::move(names)), asio::detached);
         }
     }
-    auto can_use = [this](const Machine& m) { return usable(m); };
+    auto can_use = usable_now();
     if (now_ >= next_closing_) {
         next_closing_ = now_ + kClosingPause_s;
         if (auto i = plan_closing(tables_, can_use, now_); i != kNone) {
@@ -1168,14 +1172,12 @@
     next_schedule_ = now_ + properties_.scheduling_pause_s;
     if (!sure(now_)) return;
     dirty_ = false;
-    place_waiting(
-        tables_, [this](const Machine& m) { return usable(m); }, now_);
+    place_waiting(tables_, usable_now(), now_);
 }
 
 void Leader::preempt() {
     if (!sure(now_)) return;
-    auto round = plan_preemption(
-        tables_, [this](const Machine& m) { return usable(m); }, now_);
+    auto round = plan_preemption(tables_, usable_now(), now_);
     if (round.clearings.empty()) return;
     ++rounds_;
     metrics_.count("preemption_rounds_total");
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -128,6 +128,13 @@
     void flush();
     void flush_stops();
     bool usable(const Machine& m) const;
+    Usable usable_now() const {
+        return [this](const Machine& m) { return usable(m); };
+    }
+    // Without a report for this long a machine is taken for silent: nothing new is placed there.
+    double silence_s() const { return 2.2 * settings_.report_s + 1; }
+    // Unsure of the lease for so long that reports may not be answered any more.
+    bool past_grace() const { return now_ > tenure_->sure_until + answering_grace(settings_); }
     bool may_tell(const Job& job) const;
     bool state_down() const;
     JobState job_state(const Job& job) const;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -57,10 +57,6 @@
 
 namespace {
 
-bool has_image(const Machine& m, Index image) {
-    return std::find(m.images.begin(), m.images.end(), image) != m.images.end();
-}
-
 // Smaller is a better fit. GPUs are not spent on tasks that need none while there is another place.
 auto fit(const Tables& tables, const Job& job, const Machine& m) {
     auto left = m.room() - job.spec.need;
@@ -68,7 +64,7 @@
     int64_t rest = job.spec.need.gpu > 0 ? left.gpu : left.cpu;
     return std::make_tuple(wasted_gpus,
                            job.failed_on.size() && job.failed_on.count(tables.find_machine(m.name)) > 0,
-                           m.tasks.empty(), rest, !has_image(m, job.spec.image), !m.spot, left.cpu, left.mem);
+                           m.tasks.empty(), rest, !m.has_image(job.spec.image), !m.spot, left.cpu, left.mem);
 }
 
 struct Room {
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -291,9 +291,12 @@
 }
 
 namespace {
+bool suits(const Tables& tables, const JobSpec& spec, const Machine& m) {
+    return tables.machine_allowed(spec, m) && !tables.spares_gpus(spec, m.type);
+}
+
 bool wants(const Tables& tables, const Job& job, const Machine& m) {
-    return tables.machine_allowed(job.spec, m) && !tables.spares_gpus(job.spec, m.type) &&
-           tables.within_limit(tables.teams[job.spec.team], job.spec.need);
+    return suits(tables, job.spec, m) && tables.within_limit(tables.teams[job.spec.team], job.spec.need);
 }
 }  // namespace
 
@@ -326,8 +329,7 @@
             if (!fits) break;
             auto place = std::find_if(others.begin(), others.end(), [&](auto& o) {
                 return tables.machine_allowed(spec, *o.first) && spec.need.fits_in(o.second) &&
-                       std::find(o.first->images.begin(), o.first->images.end(), spec.image) !=
-                           o.first->images.end();
+                       o.first->has_image(spec.image);
             });
             fits = place != others.end();
             if (!fits) break;
@@ -349,8 +351,7 @@
     auto spare = spares(tables, settings, now);
     auto keeps = [&](const Machine& m) {
         for (auto& s : spare) {
-            if (s.tasks <= 0 || !tables.machine_allowed(*s.like, m) || tables.spares_gpus(*s.like, m.type))
-                continue;
+            if (s.tasks <= 0 || !suits(tables, *s.like, m)) continue;
             s.tasks -= s.like->need.times_in(m.room());
             return true;
         }
