--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -154,6 +154,16 @@
     }
 }
 
+// What tasks like this one could take of the machines that are there or coming up, were all of them empty.
+Resources capacity_for(const Tables& tables, const JobSpec& spec) {
+    int64_t tasks = 0;
+    for (auto& m : tables.machines)
+        if (m && !m->doomed && !m->returning && tables.machine_allowed(spec, *m) &&
+            !tables.spares_gpus(spec, m->type))
+            tasks += spec.need.times_in(m->size);
+    return spec.need * tasks;
+}
+
 }  // namespace
 
 std::vector<Placement> place_waiting(Tables& tables, const Usable& usable, double now, size_t most) {
@@ -176,8 +186,11 @@
             place_tasks(tables, usable, j, kept, now, most, out);
         if (job.pending > 0 && tables.large(job.spec)) {
             auto more = job.spec.need * (job.spec.kind == JobKind::Gang ? job.pending : 1);
-            if (!tables.below_limit(tables.teams[job.spec.team], large[job.spec.team] + share + more))
-                continue;
+            auto filled = large[job.spec.team] + share + more;
+            if (!tables.below_limit(tables.teams[job.spec.team], filled)) continue;
+            // Nor is a share of any use beyond what the machines there can hold: a team's small tasks once
+            // waited for minutes beside idle machines, for a limit that its large jobs could not reach.
+            if (!(filled.fits_in(capacity_for(tables, job.spec)))) continue;
             above = job.spec.priority;
             share += more;
         }
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -371,8 +371,12 @@
         }
         if (m->reserved_for != kNone && m->reserved_until > now) continue;
         if (m->type >= tables.types.size() || !tables.types[m->type].offered) continue;
-        if (std::any_of(waiting.begin(), waiting.end(),
-                        [&](Index j) { return wants(tables, *tables.jobs[j], *m); }))
+        // Only a gang has to wait for several machines at once: a single task that could be placed here would
+        // have been. Hundreds of idle machines were once kept for jobs held back by their team's limit.
+        if (std::any_of(waiting.begin(), waiting.end(), [&](Index j) {
+                auto& job = *tables.jobs[j];
+                return job.spec.kind == JobKind::Gang && wants(tables, job, *m);
+            }))
             continue;
         double keep = settings.idle_keep_boots * tables.types[m->type].type.boot_s;
         if (now - m->rented < kLeastCharge_s || now - std::max(m->empty_since, m->up_at) < keep) continue;
