A controller refused by the state service alone learns from its peers who leads

It stayed an unsure leader and answered 503 to a third of all users for as long; a refused follower went on asking a leader that had gone. Now pings name the leader and its token; the newer of that word and the state service's own counts, and an unsure leader gives up once told of another.

--- a/src/coordination/election.h
+++ b/src/coordination/election.h
@@ -66,6 +66,8 @@
     // Who leads as far as this node knows; empty: nobody.
     const std::string& leader() const { return leader_; }
     uint64_t token() const { return token_; }
+    // The state service's revision that this knowledge is as old as.
+    uint64_t as_of() const { return std::max(revision_, token_); }
 
   private:
     boost::asio::awaitable<void> run();
--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 constexpr double kForward_s = 2.2;
-constexpr double kPing_s = 1.5;
+constexpr double kPing_s = 1.0;
 constexpr double kDeaf_s = 6;  // a follower this long without its leader sends users elsewhere
 constexpr size_t kMaxRelayed = 10000;
 
@@ -26,17 +26,20 @@
     heard_leader_ = steady_now();
     Election::Events events;
     events.won = [this](std::shared_ptr<Tenure> tenure) {
+        tenure_ = tenure;
         leader_ = std::make_shared<Leader>(io_, settings_, properties_, state_, metrics_, tenure);
         leader_->start();
     };
     events.lost = [this] {
         if (leader_) leader_->stop();
         leader_.reset();
+        tenure_.reset();
         heard_leader_ = steady_now();
     };
     election_ = std::make_unique<Election>(io, settings_, properties_, state_, std::move(events));
     peers_in_ =
         std::make_unique<PeerServer>(io, settings.peer, [this](PeerCall call) -> asio::awaitable<PeerReply> {
+            if (call.op == PeerOp::Ping) co_return who_leads();
             if (auto leader = leader_) co_return co_await leader->ask(std::move(call));
             co_return PeerReply{503, "{}", 1, 0};
         });
@@ -48,14 +51,21 @@
                  settings.peers.size());
 }
 
-PeerClient* Front::leader_link() {
-    auto& name = election_->leader();
+PeerClient* Front::link_to(const std::string& name) {
     if (auto it = links_.find(name); it != links_.end()) return it->second.get();
     for (auto& p : settings_.peers)
         if (p.name == name) return (links_[name] = std::make_unique<PeerClient>(io_, p.addr)).get();
     return nullptr;
 }
 
+PeerClient* Front::leader_link() { return link_to(leader_name()); }
+
+// The answer to a ping: 200 from the leader itself, else whom this node takes for it.
+PeerReply Front::who_leads() const {
+    if (leader_ && leader_->sure(steady_now())) return {200, settings_.name, 0, leader_->token()};
+    return {503, leader_name(), 1, leader_token()};
+}
+
 asio::awaitable<PeerReply> Front::to_leader(PeerCall call) {
     if (auto leader = leader_) co_return co_await leader->ask(std::move(call));
     auto* link = leader_link();
@@ -66,17 +76,37 @@
     co_return *reply;
 }
 
+asio::awaitable<bool> Front::ask_peer(std::string name) {
+    PeerCall ping;
+    auto reply = co_await link_to(name)->call(std::move(ping), 1.0);
+    if (!reply) co_return false;
+    if (reply->token > std::max(told_token_, election_->as_of()) && !reply->body.empty()) {
+        spdlog::info("node: {} says that {} leads with token={}", name, reply->body, reply->token);
+        told_leader_ = reply->body;
+        told_token_ = reply->token;
+    }
+    // A leader unsure of its lease counts as heard: in an outage of the state service no other node would
+    // serve better, and nodes that left the load balancer for it came back late.
+    if (name == leader_name() && reply->body == name) heard_leader_ = steady_now();
+    co_return reply->status == 200;
+}
+
 asio::awaitable<void> Front::ping_loop() {
     for (;;) {
         co_await sleep_s(kPing_s);
-        if (leader_) continue;
-        if (auto* link = leader_link()) {
-            PeerCall ping;
-            auto reply = co_await link->call(std::move(ping), 1.0);
-            if (reply) heard_leader_ = steady_now();
-        } else {
-            heard_leader_ = steady_now();  // an election: soon over, and no other node would serve better
+        if (tenure_ && told_token_ > tenure_->token) {
+            // The state service refuses this node alone, and another leads by now. This node used to go on as
+            // an unsure leader and turn its users away for as long as that lasted.
+            spdlog::info("node: gives up token={}: {} leads", tenure_->token, told_leader_);
+            tenure_->ended = true;
+            continue;
         }
+        if (leader_ && leader_->sure(steady_now())) continue;
+        if (!leader_link() && !leader_)
+            heard_leader_ = steady_now();  // an election: soon over, and no other node would serve better
+        // The leader first; the others only where it can't be asked or does not say that it leads.
+        if (!leader_ && leader_link() && co_await ask_peer(leader_name())) continue;
+        for (auto& p : settings_.peers) asio::co_spawn(io_, ask_peer(p.name), asio::detached);
     }
 }
 
@@ -87,7 +117,7 @@
 
 HttpReply Front::metrics_page() const {
     std::map<std::string, double> gauges{{"leading", leader_ ? 1 : 0},
-                                         {"token", static_cast<double>(election_->token())}};
+                                         {"token", static_cast<double>(leader_token())}};
     if (leader_ && leader_->ready()) leader_->gauges(gauges);
     HttpReply reply{200, metrics_.text(gauges)};
     reply.content_type = "text/plain; version=0.0.4";
@@ -158,7 +188,7 @@
     double now = steady_now();
     auto it = relayed_.find(head.machine);
     bool relay = it != relayed_.end() && now < it->second.until;
-    if (!relay && head.token != 0 && head.token >= election_->token()) {
+    if (!relay && head.token != 0 && head.token >= leader_token()) {
         // It knows the leader and yet comes here: it can't reach it. We may be able to. From time to time
         // it is sent to the leader again, more rarely every time that it comes back.
         if (relayed_.size() > kMaxRelayed) relayed_.clear();
@@ -176,7 +206,7 @@
         relayed_.erase(head.machine);
         co_return HttpReply{421, redirect_answer("")};
     }
-    co_return HttpReply{421, redirect_answer(election_->leader())};
+    co_return HttpReply{421, redirect_answer(leader_name())};
 }
 
 }  // namespace weirmill
--- a/src/coordination/front.h
+++ b/src/coordination/front.h
@@ -28,8 +28,16 @@
     boost::asio::awaitable<HttpReply> handle_report(HttpRequest request);
     boost::asio::awaitable<PeerReply> to_leader(PeerCall call);
     boost::asio::awaitable<void> ping_loop();
+    boost::asio::awaitable<bool> ask_peer(std::string name);  // whether it says that it leads
+    PeerReply who_leads() const;
     bool healthy() const;
+    PeerClient* link_to(const std::string& name);
     PeerClient* leader_link();
+    // Who leads as far as this node knows, from the state service or, should that be refused to this node
+    // alone, from the other controllers; the newer word counts.
+    bool told_newer() const { return told_token_ > election_->as_of(); }
+    const std::string& leader_name() const { return told_newer() ? told_leader_ : election_->leader(); }
+    uint64_t leader_token() const { return told_newer() ? told_token_ : election_->token(); }
 
     boost::asio::io_context& io_;
     const Settings& settings_;
@@ -37,6 +45,9 @@
     StateClient state_;
     std::unique_ptr<Election> election_;
     std::shared_ptr<Leader> leader_;
+    std::shared_ptr<Tenure> tenure_;  // while this node leads
+    std::string told_leader_;         // what the other controllers said
+    uint64_t told_token_ = 0;
     std::map<std::string, std::unique_ptr<PeerClient>> links_;
     std::unique_ptr<PeerServer> peers_in_;
     std::unique_ptr<HttpServer> http_;
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -223,7 +223,7 @@
         case PeerOp::Report:
             return report(m.call, m.reply);
         case PeerOp::Ping:
-            return m.reply.set({sure(now_) ? 200 : 503, "", 0, tenure_->token});
+            break;  // answered by the node itself
     }
     m.reply.set({400, "{}"});
 }
