--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -21,7 +21,7 @@
 constexpr double kHold_s = 0.35;  // a report waits this long for records at most
 constexpr double kAsk_s = 2.0;
 constexpr double kClosingPause_s = 4;  // one machine at a time: its tasks must find their places first
-constexpr double kCall_s = 1.5;
+constexpr double kReplacementBoots = 3;  // a boot, and about two of them for the images
 
 double wall_now() {
     return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
@@ -899,6 +899,12 @@
     dirty_ = true;
 }
 
+// Until a machine rented in place of this one would do the same work.
+double Leader::replacement_s(const Machine& m) const {
+    if (m.type >= tables_.types.size() || !tables_.types[m.type].offered) return 0;
+    return kReplacementBoots * tables_.boot_factor * tables_.types[m.type].type.boot_s;
+}
+
 void Leader::check_machines() {
     if (past_grace()) deaf_at_ = now_;
     for (Index i = 0; i < tables_.machines.size(); ++i) {
@@ -912,11 +918,13 @@
             m->saw_token = false;
             continue;
         }
-        // Not heard of for a whole lease during which it could have been: it is given back. After an outage
-        // in which this leader itself fell silent, the machines are sound and will report again.
-        if (!m->up && m->up_at > 0 && !m->doomed &&
-            now_ - std::max({m->last_report, deaf_at_, tenure_->won}) > settings_.lease_s) {
-            spdlog::info("machine: {} not heard of for a lease, returned", m->name);
+        // Not heard of for so long that it is given back. A replacement has to boot and to fetch its images
+        // again: for as long as that takes, the machine may just as well come back. A cut of 20 s once cost a
+        // whole zone's machines. After an outage in which this leader itself fell silent, all will report again.
+        bool running = m->up_at > 0 || m->status == MachineStatus::Running;
+        if (!m->up && running && !m->doomed &&
+            now_ - std::max({m->last_report, deaf_at_, tenure_->won}) > settings_.lease_s + replacement_s(*m)) {
+            spdlog::info("machine: {} not heard of for too long, returned", m->name);
             m->doomed = true;
         }
         if (expired && !m->up && !m->tasks.empty())
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -91,9 +91,27 @@
     return out;
 }
 
+// Zones of which most machines that once reported are silent: they are cut off, and a machine rented there
+// could not be used.
+std::vector<bool> silent_zones(const Tables& tables, const Usable& usable) {
+    std::vector<int> balance(tables.names.zones.size(), 0);
+    for (auto& m : tables.machines) {
+        if (!m || m->zone == kNone || m->doomed || m->returning) continue;
+        if (m->up && usable(*m))
+            --balance[m->zone];
+        else if (m->status == MachineStatus::Running && m->notice_until < 0 && !m->missing)
+            ++balance[m->zone];
+    }
+    std::vector<bool> out;
+    for (int b : balance) out.push_back(b > 2);
+    // If no zone is left, it is rather this controller that hears nothing.
+    if (std::all_of(out.begin(), out.end(), [](bool silent) { return silent; })) out.assign(out.size(), false);
+    return out;
+}
+
 // The offer that is cheapest for a task of `tasks`; spot first where it may be used.
 Coming cheapest_offer(const Tables& tables, const JobSpec& spec, size_t tasks, Index only,
-                      const ZoneRule& rule, double now) {
+                      const ZoneRule& rule, const std::vector<bool>& silent, double now) {
     double best_cost = 0;
     Coming offer{kNone, kNone, false, 0, {}, {}};
     for (Index t = 0; t < tables.types.size(); ++t) {
@@ -104,7 +122,7 @@
             auto z = tables.names.zones.find(zone_name);
             if (z == kNone || (only != kNone && z != only) || (spec.zone != kNone && z != spec.zone))
                 continue;
-            if (!rule.allows(z)) continue;
+            if (!rule.allows(z) || (z < silent.size() && silent[z])) continue;
             for (bool spot : {true, false}) {
                 if ((spot && !spec.spot) || tables.refused(t, z, spot, now)) continue;
                 double cost = (spot ? type.spot_price : type.price) / static_cast<double>(fits);
@@ -162,6 +180,7 @@
 std::vector<Rental> plan_rentals(const Tables& tables, const Usable& usable, const SizingSettings& settings,
                                  double now) {
     auto coming = known_machines(tables, usable, now);
+    auto silent = silent_zones(tables, usable);
     std::map<std::tuple<Index, Index, bool>, int> wanted;
     std::vector<Resources> team_extra(tables.teams.size());
     for (auto j : waiting_jobs(tables, now)) {
@@ -226,7 +245,7 @@
                     double at = c.start(spec.need, taken);
                     if (at < best_at) best = i, best_at = at, best_taken = taken;
                 }
-                auto offer = cheapest_offer(tables, spec, rest, only, trial_rule, now);
+                auto offer = cheapest_offer(tables, spec, rest, only, trial_rule, silent, now);
                 // Waiting for room that will be there no later than a new machine costs nothing; longer waits
                 // are taken as far as the job can afford them.
                 double filled = 1;
@@ -278,7 +297,7 @@
         ZoneRule anywhere(tables, nobody);
         while (free < spare.tasks) {
             auto offer = cheapest_offer(tables, *spare.like, static_cast<size_t>(spare.tasks - free), kNone,
-                                        anywhere, now);
+                                        anywhere, silent, now);
             if (offer.type == kNone) break;
             ++wanted[{offer.type, offer.zone, offer.spot}];
             free += std::max<int64_t>(1, spare.like->need.times_in(offer.room));
