Records are a log of segments: one change of the state service carries many events

Cause: a key for each job's chunk cost a change for most task events. A slot waited seconds for its record.

--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -1,8 +1,9 @@
 #include "bookkeeping/ledger.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <charconv>
-#include <map>
 
 namespace weirmill {
 
@@ -10,49 +11,22 @@
 
 namespace {
 constexpr size_t kMaxTxnBytes = 56 * 1024;  // of the 64 KiB that a transaction may have
-}
+// A segment is written again with every flush until it is full: more than this costs more than it saves.
+constexpr size_t kFull = 8 * 1024;
+constexpr size_t kEntryBytes = 700;  // rows of one entry, about
+constexpr size_t kRetoldAtOnce = 3 * 1024;
+}  // namespace
 
-std::string job_key(const std::string& id) { return "j/" + id; }
-std::string chunk_key(const std::string& id, uint32_t chunk) {
-    return "t/" + id + "/" + std::to_string(chunk);
-}
+std::string segment_key(uint64_t number) { return fmt::format("{}{:016}", kSegments, number); }
 std::string final_key(const std::string& id) { return "f/" + id; }
 
-std::string job_record(const Job& job, const Names& names, bool cancelled) {
+// Entries of a segment: ["j", {job, at, cancelled}] a job, ["c", id] its cancellation, ["e", id] its end,
+// ["t", id, row...] its tasks. Rows: [task, attempt] waiting, [task, attempt, session, machine] placed,
+// [first, last, "d"] done.
+std::string job_record(const Job& job, const Names& names) {
     json::object o{{"job", submission_json(job.spec, names)}, {"at", job.submitted}};
-    if (cancelled) o["cancelled"] = true;
-    return json::serialize(o);
-}
-
-std::string chunk_record(const Job& job, uint32_t chunk, const Tables& tables) {
-    // done: ranges; placed: [task, attempt, session, index into machines]; tried: [task, attempt].
-    json::array done, placed, tried, machine_names;
-    std::map<Index, int> machine_of;
-    uint32_t begin = chunk * tables.chunk_tasks;
-    uint32_t end = std::min<uint32_t>(begin + tables.chunk_tasks, static_cast<uint32_t>(job.tasks.size()));
-    for (uint32_t t = begin; t < end; ++t) {
-        auto& task = job.tasks[t];
-        if (task.state == TaskState::Done) {
-            uint32_t last = t;
-            while (last + 1 < end && job.tasks[last + 1].state == TaskState::Done) ++last;
-            done.push_back(json::array{t, last});
-            t = last;
-        } else if (task.state == TaskState::Placed) {
-            auto [it, fresh] = machine_of.emplace(task.machine, static_cast<int>(machine_of.size()));
-            if (fresh) machine_names.emplace_back(tables.machines[task.machine]->name);
-            placed.push_back(json::array{t, task.attempt, task.session, it->second});
-        } else if (task.attempt > 0) {
-            tried.push_back(json::array{t, task.attempt});
-        }
-    }
-    json::object o;
-    if (!done.empty()) o["done"] = std::move(done);
-    if (!placed.empty()) {
-        o["placed"] = std::move(placed);
-        o["machines"] = std::move(machine_names);
-    }
-    if (!tried.empty()) o["tried"] = std::move(tried);
-    return json::serialize(o);
+    if (job.cancel_recorded) o["cancelled"] = true;
+    return json::serialize(json::array{"j", std::move(o)});
 }
 
 std::string final_record(JobState state, uint32_t done) {
@@ -65,169 +39,297 @@
             static_cast<uint32_t>(read::count(o, "done"))};
 }
 
+namespace {
+
+std::string quoted(const std::string& s) { return json::serialize(json::string(s)); }
+std::string short_entry(const char* tag, const std::string& id) {
+    return fmt::format("[\"{}\",{}]", tag, quoted(id));
+}
+
+// One row; a run of done tasks is one. Returns the task after it.
+uint32_t add_row(std::string& text, const Job& job, uint32_t t, uint32_t end, const Tables& tables) {
+    auto& task = job.tasks[t];
+    auto out = std::back_inserter(text);
+    if (task.state == TaskState::Done) {
+        uint32_t last = t;
+        while (last + 1 < end && job.tasks[last + 1].state == TaskState::Done) ++last;
+        fmt::format_to(out, ",[{},{},\"d\"]", t, last);
+        return last + 1;
+    }
+    if (task.state == TaskState::Placed)
+        fmt::format_to(out, ",[{},{},{},{}]", t, task.attempt, task.session,
+                       quoted(tables.machines[task.machine]->name));
+    else
+        fmt::format_to(out, ",[{},{}]", t, task.attempt);
+    return t + 1;
+}
+
+}  // namespace
+
+// What a transaction will write to the log: the open segment with more entries, and further ones after it.
+struct Ledger::Staged {
+    std::vector<LedgerBatch::Written> segments;
+    bool open_untouched = false;  // the first of them is the open one, as it stands
+    size_t soft, hard, bytes = 0;
+    int ops;  // changes that the transaction may still have
+    uint64_t next_number;
+
+    bool put(const std::string& entry) {
+        bool fits = !segments.empty() && segments.back().text.size() + entry.size() + 2 <= soft;
+        size_t more = entry.size() + 300;
+        if (fits && segments.size() == 1 && open_untouched) more += segments.back().text.size();
+        bool costs = !fits || (segments.size() == 1 && open_untouched);
+        if ((costs && ops < 1) || bytes + more > kMaxTxnBytes || entry.size() + 2 > hard) return false;
+        if (!fits) {
+            segments.push_back({next_number++, "["});
+        } else if (costs) {
+            open_untouched = false;
+            bytes += segments.back().text.size();
+        }
+        if (costs) {
+            --ops;
+            bytes += 100;  // its key, twice, and what stands around it
+        }
+        auto& text = segments.back().text;
+        if (text.size() > 1) text += ',';
+        text += entry;
+        bytes += entry.size() + 1;
+        return true;
+    }
+    uint64_t number() const { return segments.back().number; }
+};
+
+Ledger::Ledger(Tables& tables, uint64_t token, LedgerLimits limits)
+    : tables_(tables), token_(token), txn_ops_(limits.txn_ops) {
+    hard_limit_ = static_cast<size_t>(limits.value_kb * 1024) - 64;
+    soft_limit_ = std::min(hard_limit_, kFull);
+    entry_limit_ = std::min(kEntryBytes, hard_limit_ / 2);
+}
+
 bool Ledger::waiting() const {
-    return !new_jobs_.empty() || !cancels_.empty() || !finishes_.empty() || !tables_.changed_chunks.empty() ||
-           !sweeps_.empty() ||
+    return !new_jobs_.empty() || !cancels_.empty() || !finishes_.empty() || !tables_.changes.empty() ||
+           retelling_ != 0 ||
            std::any_of(notes_.begin(), notes_.end(), [](auto& n) { return !n.second.record.empty(); });
 }
 
 LedgerBatch Ledger::next(int ops) {
     LedgerBatch b;
     ops = std::min(ops, txn_ops_);
-    size_t bytes = 200;
-    auto left = [&] { return ops - static_cast<int>(b.txn.changes.size()); };
+    const size_t most_conditions = 4 * static_cast<size_t>(txn_ops_) - 8;
+    b.through = tables_.recorded_through;
+    b.first = first_;
+    Staged s{{}, !open_.empty(), soft_limit_, hard_limit_, 0, ops, next_number_};
+    if (!open_.empty()) s.segments.push_back({segments_.back().number, open_});
     auto condition = [&](std::string key, uint64_t version) {
-        StateCondition c{std::move(key), version};
-        bytes += c.key.size() + 40;
-        if (std::find(b.txn.conditions.begin(), b.txn.conditions.end(), c) == b.txn.conditions.end())
-            b.txn.conditions.push_back(std::move(c));
+        s.bytes += key.size() + 40;
+        b.txn.conditions.push_back({std::move(key), version});
     };
     auto change = [&](std::string key, std::string value) {
-        bytes += key.size() + value.size() + 40;
+        s.bytes += key.size() + value.size() + 40;
         b.txn.changes.push_back({std::move(key), std::move(value), 0});
     };
-    b.txn.conditions.push_back({kLeaderKey, token_});
+    auto room = [&] { return b.txn.conditions.size() + 2 < most_conditions; };
+    condition(kLeaderKey, token_);
+    // With every drop the head changes: a late copy can't bring a dropped segment back.
+    condition(kLogKey, head_version_);
 
-    while (!cancels_.empty() && left() >= 1 && bytes < kMaxTxnBytes / 2) {
+    while (!cancels_.empty()) {
         auto index = cancels_.front();
-        auto& job = *tables_.jobs[index];
+        if (!s.put(short_entry("c", tables_.jobs[index]->spec.id))) break;
         cancels_.pop_front();
-        condition(job_key(job.spec.id), job.version);
-        change(job_key(job.spec.id), job_record(job, tables_.names, true));
-        b.entries.push_back({EntryKind::Cancel, index, 0, 0, {}});
+        b.entries.push_back({EntryKind::Cancel, index, {}});
         b.urgent = true;
     }
-    while (!new_jobs_.empty() && left() >= 1 && bytes < kMaxTxnBytes / 2) {
+    while (!new_jobs_.empty() && room()) {
         auto index = new_jobs_.front();
         auto& job = *tables_.jobs[index];
+        if (!s.put(job_record(job, tables_.names))) break;
         new_jobs_.pop_front();
-        condition(job_key(job.spec.id), 0);
         condition(final_key(job.spec.id), 0);
-        change(job_key(job.spec.id), job_record(job, tables_.names, false));
-        b.entries.push_back({EntryKind::NewJob, index, 0, 0, {}});
+        b.entries.push_back({EntryKind::NewJob, index, {}});
+        b.bases.emplace_back(index, s.number());
         b.urgent = true;
     }
-    for (size_t i = 0; i < finishes_.size() && bytes < kMaxTxnBytes / 2;) {
-        auto index = finishes_[i];
+    while (!finishes_.empty() && room() && s.ops >= 1) {
+        auto index = finishes_.front();
         auto& job = *tables_.jobs[index];
-        // A job touched elsewhere in this transaction waits for the next one.
-        bool busy = std::any_of(b.entries.begin(), b.entries.end(), [&](auto& e) { return e.job == index; });
-        if (busy || left() < 2) {
-            ++i;
-            continue;
+        // Its final state takes a change of its own, which the log must leave.
+        --s.ops;
+        if (!s.put(short_entry("e", job.spec.id))) {
+            ++s.ops;
+            break;
         }
-        finishes_.erase(finishes_.begin() + static_cast<long>(i));
-        auto& id = job.spec.id;
-        condition(job_key(id), job.version);
-        condition(final_key(id), 0);
-        change(final_key(id), final_record(job.cancelled ? JobState::Cancelled : JobState::Done, job.done));
-        change(job_key(id), "");
-        uint32_t swept = 0;
-        for (uint32_t c = 0; c < job.chunks.size(); ++c) {
-            if (job.chunks[c].version == 0) continue;
-            if (left() < 1) break;
-            condition(chunk_key(id, c), job.chunks[c].version);
-            change(chunk_key(id, c), "");
-            swept = c + 1;
-        }
-        b.entries.push_back({EntryKind::Finish, index, swept, 0, {}});
-    }
-    auto& changed = tables_.changed_chunks;
-    for (size_t i = 0; i < changed.size() && left() >= 1 && bytes < kMaxTxnBytes;) {
-        auto [index, c] = changed[i];
-        auto& job = *tables_.jobs[index];
-        if (job.ending) {
-            // Its end replaces all of this.
-            job.chunks[c].queued = false;
-            changed.erase(changed.begin() + static_cast<long>(i));
-            continue;
-        }
-        auto record = chunk_record(job, c, tables_);
-        if (bytes + record.size() + 300 > kMaxTxnBytes && !b.entries.empty()) break;
-        changed.erase(changed.begin() + static_cast<long>(i));
-        auto& chunk = job.chunks[c];
-        chunk.queued = false;
-        // The job's own key as well: a late copy of a transaction that created this chunk must not
-        // bring it back once the job has ended.
-        condition(job_key(job.spec.id), job.version);
-        condition(chunk_key(job.spec.id, c), chunk.version);
-        change(chunk_key(job.spec.id, c), std::move(record));
-        b.entries.push_back({EntryKind::Chunk, index, c, chunk.change, {}});
+        finishes_.pop_front();
+        condition(final_key(job.spec.id), 0);
+        change(final_key(job.spec.id),
+               final_record(job.cancelled ? JobState::Cancelled : JobState::Done, job.done));
+        b.entries.push_back({EntryKind::Finish, index, {}});
     }
+    tell_tasks(s, b);
+    retell(s, b);
     for (auto& [key, note] : notes_) {
-        if (note.record.empty() || left() < 1 || bytes + note.record.size() > kMaxTxnBytes) continue;
+        if (note.record.empty() || s.ops < 1 || s.bytes + note.record.size() > kMaxTxnBytes) continue;
         condition(key, note.version);
         change(key, std::move(note.record));
         note.record.clear();
-        b.entries.push_back({EntryKind::Note, kNone, 0, 0, key});
+        --s.ops;
+        b.entries.push_back({EntryKind::Note, kNone, key});
     }
-    while (!sweeps_.empty() && left() >= 1 && bytes < kMaxTxnBytes) {
-        condition(sweeps_.front().key, sweeps_.front().version);
-        change(sweeps_.front().key, "");
-        b.entries.push_back({EntryKind::Sweep, kNone, 0, 0, sweeps_.front().key});
-        sweeps_.pop_front();
+    if (s.open_untouched) s.segments.erase(s.segments.begin());
+    // The log first: its keys tell an unsure sender whether the transaction was applied.
+    std::vector<StateChange> log;
+    for (auto& w : s.segments) {
+        bool open = !open_.empty() && w.number == segments_.back().number;
+        condition(segment_key(w.number), open ? segments_.back().version : 0);
+        log.push_back({segment_key(w.number), w.text + "]", 0});
     }
+    b.segments = std::move(s.segments);
+    b.txn.changes.insert(b.txn.changes.begin(), std::make_move_iterator(log.begin()),
+                         std::make_move_iterator(log.end()));
+    drop(b, s.ops);
     return b;
 }
 
+// Changes of tasks, in order; of several to one task only the newest. False: there is more.
+bool Ledger::tell_tasks(Staged& s, LedgerBatch& b) {
+    auto& queue = tables_.changes;
+    while (!queue.empty()) {
+        Index index = queue.front().ref.job;
+        std::string text;
+        std::vector<TaskChange> told;
+        size_t n = 0;
+        uint32_t through = b.through;
+        for (; n < queue.size() && text.size() < entry_limit_; ++n) {
+            auto& c = queue[n];
+            if (c.ref.job != index) break;
+            through = c.change;
+            // The end of a job replaces all of this.
+            if (!tables_.current(c) || tables_.jobs[index]->ending) continue;
+            add_row(text, *tables_.jobs[index], c.ref.task, c.ref.task + 1, tables_);
+            told.push_back(c);
+        }
+        if (!text.empty() &&
+            !s.put(fmt::format("[\"t\",{}{}]", quoted(tables_.jobs[index]->spec.id), text)))
+            return false;
+        b.tasks.insert(b.tasks.end(), told.begin(), told.end());
+        b.through = through;
+        queue.erase(queue.begin(), queue.begin() + static_cast<long>(n));
+    }
+    return true;
+}
+
+// Segments that what is alive should take, with as much again for what is not.
+size_t Ledger::wanted_segments() const {
+    size_t bytes = 0;
+    for (auto& job : tables_.jobs)
+        if (job) bytes += 500 + 40 * size_t{job->placed} + 14 * size_t{job->done};
+    return 4 + 2 * bytes / soft_limit_;
+}
+
+// Jobs that the oldest segments tell of are told anew, some at a time.
+void Ledger::retell(Staged& s, LedgerBatch& b) {
+    if (retelling_ == 0) return;
+    size_t until = s.bytes + kRetoldAtOnce;
+    for (Index j = 0; j < tables_.jobs.size() && s.bytes < until; ++j) {
+        auto* job = tables_.jobs[j].get();
+        if (!job || job->version == 0 || job->base > retelling_ || job->ending) continue;
+        if (cursor_job_ != kNone && cursor_job_ != j) {
+            auto* other = tables_.jobs[cursor_job_].get();
+            if (other && other->version != 0 && other->base <= retelling_ && !other->ending)
+                continue;  // one after the other
+            cursor_job_ = kNone;
+        }
+        if (std::any_of(b.bases.begin(), b.bases.end(), [&](auto& x) { return x.first == j; })) continue;
+        if (cursor_job_ == kNone) {
+            if (!s.put(job_record(*job, tables_.names))) return;
+            cursor_job_ = j;
+            cursor_task_ = 0;
+            cursor_base_ = s.number();
+        }
+        auto end = static_cast<uint32_t>(job->tasks.size());
+        while (cursor_task_ < end && s.bytes < until) {
+            std::string text;
+            uint32_t t = cursor_task_;
+            while (t < end && text.size() < entry_limit_) {
+                auto& task = job->tasks[t];
+                if (task.state == TaskState::Pending && task.attempt == 0)
+                    ++t;
+                else
+                    t = add_row(text, *job, t, end, tables_);
+            }
+            if (!text.empty() && !s.put(fmt::format("[\"t\",{}{}]", quoted(job->spec.id), text))) return;
+            cursor_task_ = t;
+        }
+        if (cursor_task_ < end) return;
+        b.bases.emplace_back(j, cursor_base_);
+        cursor_job_ = kNone;
+    }
+}
+
+// Segments that tell of nothing any more.
+void Ledger::drop(LedgerBatch& b, int ops) {
+    if (retelling_ == 0 || ops < 2) return;
+    for (auto& job : tables_.jobs)
+        if (job && job->version != 0 && job->base <= retelling_) return;
+    size_t most = static_cast<size_t>(ops) - 1;
+    uint64_t first = first_;
+    for (auto& segment : segments_) {
+        if (segment.number > retelling_ || most-- == 0 ||
+            b.txn.conditions.size() >= 4 * static_cast<size_t>(txn_ops_))
+            break;
+        b.txn.conditions.push_back({segment_key(segment.number), segment.version});
+        b.txn.changes.push_back({segment_key(segment.number), "", 0});
+        first = segment.number + 1;
+    }
+    if (first == first_) return;
+    b.first = first;
+    b.txn.changes.push_back({kLogKey, json::serialize(json::object{{"first", first}}), 0});
+}
+
 void Ledger::committed(const LedgerBatch& batch, uint64_t revision) {
+    tables_.recorded_through = std::max(tables_.recorded_through, batch.through);
+    for (auto& w : batch.segments) {
+        if (!segments_.empty() && segments_.back().number == w.number)
+            segments_.back().version = revision;
+        else
+            segments_.push_back({w.number, revision});
+        open_ = w.text;
+        next_number_ = std::max(next_number_, w.number + 1);
+    }
+    for (auto& [j, base] : batch.bases)
+        if (tables_.jobs[j]) tables_.jobs[j]->base = base;
     for (auto& e : batch.entries) {
-        Job* job = e.job == kNone ? nullptr : tables_.jobs[e.job].get();
-        switch (e.kind) {
-            case EntryKind::Cancel:
-                job->cancel_recorded = true;
-                [[fallthrough]];
-            case EntryKind::NewJob:
-                job->version = revision;
-                break;
-            case EntryKind::Finish:
-                for (uint32_t c = e.chunk; c < job->chunks.size(); ++c)
-                    if (job->chunks[c].version) sweep(chunk_key(job->spec.id, c), job->chunks[c].version);
-                break;
-            case EntryKind::Chunk:
-                job->chunks[e.chunk].version = revision;
-                job->chunks[e.chunk].committed = e.change;
-                break;
-            case EntryKind::Note:
-                notes_[e.key].version = revision;
-                break;
-            case EntryKind::Sweep:
-                break;
-        }
+        if (e.kind == EntryKind::Cancel) tables_.jobs[e.job]->cancel_recorded = true;
+        if (e.kind == EntryKind::NewJob) tables_.jobs[e.job]->version = revision;
+        if (e.kind == EntryKind::Note) notes_[e.key].version = revision;
+    }
+    if (batch.first != first_) {
+        while (!segments_.empty() && segments_.front().number < batch.first) segments_.pop_front();
+        first_ = batch.first;
+        head_version_ = revision;
+        if (segments_.empty() || segments_.front().number > retelling_) retelling_ = 0;
+        if (segments_.empty()) open_.clear();
+    }
+    // Half a segment's worth at a time is told anew, and never the open one.
+    if (retelling_ == 0 && segments_.size() > wanted_segments() + 1) {
+        retelling_ = segments_.front().number;
+        cursor_job_ = kNone;
     }
 }
 
 void Ledger::rejected(const LedgerBatch& batch) {
+    for (auto it = batch.tasks.rbegin(); it != batch.tasks.rend(); ++it)
+        if (tables_.current(*it)) tables_.changes.push_front(*it);
+    cursor_job_ = kNone;
     for (auto it = batch.entries.rbegin(); it != batch.entries.rend(); ++it) {
         auto& e = *it;
-        switch (e.kind) {
-            case EntryKind::NewJob:
-                break;
-            case EntryKind::Cancel:
-                cancels_.push_front(e.job);
-                break;
-            case EntryKind::Finish:
-                finishes_.push_front(e.job);
-                break;
-            case EntryKind::Chunk: {
-                auto& chunk = tables_.jobs[e.job]->chunks[e.chunk];
-                if (!chunk.queued) {
-                    chunk.queued = true;
-                    tables_.changed_chunks.emplace_front(e.job, e.chunk);
-                }
-                break;
-            }
-            case EntryKind::Sweep:
-                for (auto& c : batch.txn.conditions)
-                    if (c.key == e.key) sweeps_.push_front(c);
-                break;
-            case EntryKind::Note:
-                // A newer value may have come meanwhile.
-                if (auto& record = notes_[e.key].record; record.empty())
-                    for (auto& c : batch.txn.changes)
-                        if (c.key == e.key) record = c.value;
-                break;
-        }
+        if (e.kind == EntryKind::Cancel) cancels_.push_front(e.job);
+        if (e.kind == EntryKind::Finish) finishes_.push_front(e.job);
+        if (e.kind != EntryKind::Note) continue;
+        // A newer value may have come meanwhile.
+        if (auto& record = notes_[e.key].record; record.empty())
+            for (auto& c : batch.txn.changes)
+                if (c.key == e.key) record = c.value;
     }
 }
 
@@ -235,73 +337,123 @@
     new_jobs_.clear();
     cancels_.clear();
     finishes_.clear();
-    sweeps_.clear();
     notes_.clear();
+    segments_.clear();
+    open_.clear();
+    loading_.clear();
+    next_number_ = 1;
+    head_version_ = first_ = retelling_ = 0;
+    cursor_job_ = kNone;
 }
 
-void Ledger::load_job(const StateItem& item, double now) {
-    auto& o = read::object(item.value);
-    auto* body = read::field(o, "job");
-    if (!body) read::bad("job");
-    auto spec = parse_submission(*body, tables_.names);
-    if (spec.team == kNone) read::bad("job.team");
-    auto index = tables_.add_job(std::move(spec), read::number(o, "at", {}, 1e12), now);
-    auto& job = *tables_.jobs[index];
-    job.version = item.version;
-    job.cancelled = job.cancel_recorded = read::flag(o, "cancelled", false);
+void Ledger::load_head(const StateItem& item) {
+    first_ = read::count(read::object(item.value), "first");
+    head_version_ = item.version;
+    next_number_ = std::max(next_number_, first_);
 }
 
-void Ledger::load_chunk(const StateItem& item, double now) {
-    auto slash = item.key.rfind('/');
-    if (item.key.size() < 3 || slash == std::string::npos || slash < 3) read::bad("key");
-    uint32_t c = 0;
-    auto [end, ec] = std::from_chars(item.key.data() + slash + 1, item.key.data() + item.key.size(), c);
-    if (ec != std::errc() || end != item.key.data() + item.key.size()) read::bad("key");
-    auto it = tables_.job_index.find(item.key.substr(2, slash - 2));
-    if (it == tables_.job_index.end()) {
-        sweep(item.key, item.version);  // left over from a job that has ended
-        return;
+void Ledger::load_segment(const StateItem& item, double now) {
+    uint64_t number = 0;
+    auto* begin = item.key.data() + kSegments.size();
+    auto* last = item.key.data() + item.key.size();
+    if (item.key.size() <= kSegments.size()) read::bad("key");
+    auto [end, ec] = std::from_chars(begin, last, number);
+    if (ec != std::errc() || end != last || number < next_number_) read::bad("key");
+    if (!item.value.is_array()) read::bad("segment");
+    for (auto& v : item.value.get_array()) {
+        if (!v.is_array() || v.get_array().size() < 2) read::bad("entry");
+        next_number_ = number;  // for the base of jobs that it tells of
+        load_entry(v.get_array(), now);
     }
-    auto& job = *tables_.jobs[it->second];
-    if (c >= job.chunks.size()) read::bad("chunk");
-    job.chunks[c].version = item.version;
-    auto& o = read::object(item.value);
-    auto row = [&](const json::value& v, size_t n) {
-        if (!v.is_array() || v.get_array().size() != n) read::bad("chunk row");
-        std::vector<uint32_t> out;
-        for (auto& x : v.get_array()) {
-            boost::system::error_code bad;
-            out.push_back(x.to_number<uint32_t>(bad));
-            if (bad) read::bad("chunk row");
+    segments_.push_back({number, item.version});
+    next_number_ = number + 1;
+}
+
+void Ledger::load_entry(const json::array& entry, double now) {
+    if (!entry[0].is_string()) read::bad("entry");
+    std::string_view tag = entry[0].get_string();
+    if (tag == "j") {
+        auto& o = read::object(entry[1]);
+        auto* body = read::field(o, "job");
+        if (!body) read::bad("job");
+        auto spec = parse_submission(*body, tables_.names);
+        if (spec.team == kNone) read::bad("job.team");
+        bool cancelled = read::flag(o, "cancelled", false);
+        auto it = tables_.job_index.find(spec.id);
+        // Told anew: what came before stands, and what follows repeats it.
+        auto index = it != tables_.job_index.end()
+                         ? it->second
+                         : tables_.add_job(std::move(spec), read::number(o, "at", {}, 1e12), now);
+        auto& job = *tables_.jobs[index];
+        if (job.version == 0) {
+            job.version = 1;
+            job.base = next_number_;
         }
-        if (out[0] >= job.tasks.size() || out[0] / tables_.chunk_tasks != c) read::bad("chunk row");
-        return out;
-    };
-    if (read::field(o, "done"))
-        for (auto& v : read::array(o, "done")) {
-            auto r = row(v, 2);
-            if (r[1] >= job.tasks.size() || r[1] < r[0]) read::bad("chunk row");
-            for (uint32_t t = r[0]; t <= r[1]; ++t) {
-                job.tasks[t].state = TaskState::Done;
-                --job.pending, ++job.done;
+        if (cancelled) job.cancelled = job.cancel_recorded = true;
+        return;
+    }
+    if (!entry[1].is_string()) read::bad("entry");
+    auto it = tables_.job_index.find(std::string(entry[1].get_string()));
+    // A job of which an earlier segment told that is gone by now: it has ended, or is told anew further on.
+    if (it == tables_.job_index.end()) return;
+    Index index = it->second;
+    auto& job = *tables_.jobs[index];
+    if (tag == "c") {
+        job.cancelled = job.cancel_recorded = true;
+    } else if (tag == "e") {
+        loading_.erase(index);
+        for (auto& task : job.tasks) task.state = TaskState::Pending;  // none is on a machine yet
+        tables_.remove_job(index);
+    } else if (tag == "t") {
+        auto& names = loading_[index];
+        names.resize(job.tasks.size());
+        for (size_t i = 2; i < entry.size(); ++i) {
+            if (!entry[i].is_array()) read::bad("row");
+            auto& row = entry[i].get_array();
+            auto number = [&](size_t k) {
+                boost::system::error_code bad;
+                auto n = k < row.size() ? row[k].to_number<uint32_t>(bad) : 0;
+                if (bad || k >= row.size()) read::bad("row");
+                return n;
+            };
+            uint32_t t = number(0);
+            if (t >= job.tasks.size()) read::bad("row");
+            auto& task = job.tasks[t];
+            if (row.size() == 3 && row[2].is_string()) {
+                uint32_t upto = number(1);
+                if (upto < t || upto >= job.tasks.size()) read::bad("row");
+                for (uint32_t k = t; k <= upto; ++k) {
+                    job.tasks[k].state = TaskState::Done;
+                    names[k].clear();
+                }
+            } else if (row.size() == 4 && row[3].is_string()) {
+                task.state = TaskState::Placed;
+                task.attempt = number(1);
+                task.session = number(2);
+                names[t] = std::string(row[3].get_string());
+            } else if (row.size() == 2) {
+                task.state = TaskState::Pending;
+                task.attempt = number(1);
+                names[t].clear();
+            } else {
+                read::bad("row");
             }
         }
-    if (read::field(o, "tried"))
-        for (auto& v : read::array(o, "tried")) {
-            auto r = row(v, 2);
-            job.tasks[r[0]].attempt = r[1];
-            job.gang_attempt = std::max(job.gang_attempt, r[1]);
-        }
-    if (read::field(o, "placed")) {
-        auto& machines = read::array(o, "machines");
-        for (auto& v : read::array(o, "placed")) {
-            auto r = row(v, 4);
-            if (r[3] >= machines.size() || !machines[r[3]].is_string()) read::bad("chunk row");
-            auto machine = tables_.add_machine(std::string(machines[r[3]].get_string()), now);
-            tables_.restore_placed(it->second, r[0], machine, r[1], r[2]);
-            job.gang_attempt = std::max(job.gang_attempt, r[1]);
-        }
+    } else {
+        read::bad("entry");
     }
 }
 
+void Ledger::loaded(double now) {
+    for (Index j = 0; j < tables_.jobs.size(); ++j)
+        if (tables_.jobs[j]) tables_.restore_counts(j);
+    for (auto& [j, names] : loading_)
+        for (uint32_t t = 0; t < names.size(); ++t) {
+            if (names[t].empty()) continue;
+            auto& task = tables_.jobs[j]->tasks[t];
+            tables_.restore_placed(j, t, tables_.add_machine(names[t], now), task.attempt, task.session);
+        }
+    loading_.clear();
+}
+
 }  // namespace weirmill
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -1,5 +1,9 @@
-// The tables' records in the state service, write-ahead: what is to be recorded, in which transactions,
-// and what has been. Keys: `j/<id>` a job, `t/<id>/<chunk>` its tasks, `f/<id>` a final state.
+// The tables' records in the state service, write-ahead: a log of events in segments, each one key.
+//
+// One change to the state service carries all events since the last: new jobs, placements, outcomes, ends.
+// The newest segment is rewritten until it is full. The oldest is dropped once whatever it told of jobs that
+// still run has been told anew further on. Keys: `w/<number>` a segment, `log` its first number, `f/<id>` the
+// final state of a job. docs/design.md has the argument why late or repeated copies of a write do nothing.
 #pragma once
 #include <deque>
 #include <map>
@@ -14,16 +18,16 @@
 namespace weirmill {
 
 inline const std::string kLeaderKey = "leader";
+inline const std::string kLogKey = "log";
+inline const std::string kSegments = "w/";
 // Single records that only the newest value of matters.
 inline const std::string kRoundKey = "round";  // the last round of preemption
 inline const std::string kTypesKey = "types";  // the machine types last offered
 
-std::string job_key(const std::string& id);
-std::string chunk_key(const std::string& id, uint32_t chunk);
+std::string segment_key(uint64_t number);  // in the order of numbers
 std::string final_key(const std::string& id);
 
-std::string job_record(const Job& job, const Names& names, bool cancelled);
-std::string chunk_record(const Job& job, uint32_t chunk, const Tables& tables);
+std::string job_record(const Job& job, const Names& names);
 std::string final_record(JobState state, uint32_t done);
 struct FinalState {
     JobState state = JobState::Done;
@@ -31,34 +35,48 @@
 };
 FinalState parse_final(const boost::json::value& v);
 
-enum class EntryKind : uint8_t { NewJob, Cancel, Finish, Chunk, Sweep, Note };
+struct LedgerLimits {
+    int txn_ops = 12;
+    double value_kb = 4;
+};
+
+enum class EntryKind : uint8_t { NewJob, Cancel, Finish, Note };
 struct LedgerEntry {
-    EntryKind kind = EntryKind::Chunk;
+    EntryKind kind = EntryKind::Note;
     Index job = kNone;
-    uint32_t chunk = 0;
-    uint32_t change = 0;
-    std::string key;  // Sweep, Note
+    std::string key;  // Note
 };
 struct LedgerBatch {
     StateTxn txn;
     std::vector<LedgerEntry> entries;
-    bool empty() const { return entries.empty(); }
+    std::vector<TaskChange> tasks;  // whose changes it carries
+    uint32_t through = 0;           // every change up to this one is recorded with it
+    struct Written {
+        uint64_t number;
+        std::string text;
+    };
+    std::vector<Written> segments;                  // the last one stays open
+    std::vector<std::pair<Index, uint64_t>> bases;  // jobs told anew, from which segment on
+    uint64_t first = 0;                             // the log's first segment after this
+    bool empty() const { return txn.changes.empty(); }
     bool urgent = false;  // a user waits for it
 };
 
 class Ledger {
   public:
-    Ledger(Tables& tables, uint64_t token, int txn_ops) : tables_(tables), token_(token), txn_ops_(txn_ops) {}
+    Ledger(Tables& tables, uint64_t token, LedgerLimits limits);
 
     void new_job(Index job) { new_jobs_.push_back(job); }
     void cancel(Index job) { cancels_.push_back(job); }
     void finish(Index job) { finishes_.push_back(job); }
-    void sweep(std::string key, uint64_t version) { sweeps_.push_back({std::move(key), version}); }
     void note(const std::string& key, std::string record) { notes_[key].record = std::move(record); }
     void load_note(const std::string& key, uint64_t version) { notes_[key].version = version; }
     bool urgent() const { return !new_jobs_.empty() || !cancels_.empty(); }
     bool waiting() const;
     size_t submissions() const { return new_jobs_.size(); }
+    size_t segments() const { return segments_.size(); }
+    // The longest entry that a segment can hold.
+    size_t max_entry() const { return hard_limit_ - 8; }
 
     // The next transaction of at most `ops` changes; every one is conditional on the leadership.
     LedgerBatch next(int ops);
@@ -67,22 +85,45 @@
     // It was not, and never will be: its entries wait again. New jobs do not: their users are told to return.
     void rejected(const LedgerBatch& batch);
 
-    // Rebuilding the tables of a fresh leader; the loads throw BadMessage.
+    // Rebuilding the tables of a fresh leader: the head, all segments in order, then `loaded`. Each throws
+    // BadMessage.
     void clear();
-    void load_job(const StateItem& item, double now);
-    void load_chunk(const StateItem& item, double now);
+    void load_head(const StateItem& item);
+    void load_segment(const StateItem& item, double now);
+    void loaded(double now);
 
   private:
+    struct Segment {
+        uint64_t number, version;
+    };
+    struct Staged;
+    void retell(Staged& s, LedgerBatch& b);
+    void drop(LedgerBatch& b, int ops);
+    bool tell_tasks(Staged& s, LedgerBatch& b);
+    size_t wanted_segments() const;
+    void load_entry(const boost::json::array& entry, double now);
+
     Tables& tables_;
     uint64_t token_;
     int txn_ops_;
+    size_t soft_limit_, hard_limit_;  // bytes of a segment: when it is full, and at the most
+    size_t entry_limit_;              // bytes of one entry's rows, about
     std::deque<Index> new_jobs_, cancels_, finishes_;
-    std::deque<StateCondition> sweeps_;
     struct Note {
         std::string record;  // empty: nothing to write
         uint64_t version = 0;
     };
     std::map<std::string, Note> notes_;
+
+    std::deque<Segment> segments_;  // as they stand in the state service
+    std::string open_;              // the text of the last one; empty: a new one is to be opened
+    uint64_t next_number_ = 1;
+    uint64_t head_version_ = 0, first_ = 0;
+    uint64_t retelling_ = 0;  // segments up to this one are to be dropped; 0: none
+    Index cursor_job_ = kNone;
+    uint32_t cursor_task_ = 0;
+    uint64_t cursor_base_ = 0;
+    std::map<Index, std::vector<std::string>> loading_;  // machine names by task, while loading
 };
 
 }  // namespace weirmill
--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -30,15 +30,12 @@
         if (o.kind == "finished") c.done_within_s.push_back(o.within_s);
     }
     for (auto& c : classes) std::sort(c.done_within_s.begin(), c.done_within_s.end());
-    // A placed task takes at most some 60 bytes of its chunk's value.
-    chunk_tasks = std::max(8u, static_cast<uint32_t>(settings.value_kb * 1024 / 64) - 4);
     max_tasks = static_cast<size_t>(settings.mem_mb * 1e6 * 0.3 / sizeof(Task));
 }
 
 Index Tables::add_job(JobSpec spec, double submitted, double now) {
     auto job = std::make_unique<Job>();
     job->tasks.resize(spec.tasks);
-    job->chunks.resize((spec.tasks + chunk_tasks - 1) / chunk_tasks);
     job->pending = spec.tasks;
     job->submitted = submitted;
     job->seen_at = now;
@@ -70,7 +67,6 @@
         if (job.tasks[t].state == TaskState::Placed) leave_machine(index, t, 0);
     for (auto& m : machines)
         if (m && m->reserved_for == index) m->reserved_for = kNone;
-    std::erase_if(changed_chunks, [&](auto& c) { return c.first == index; });
     task_count -= job.tasks.size();
     job_index.erase(job.spec.id);
     jobs[index].reset();
@@ -81,7 +77,8 @@
     machines.clear();
     job_index.clear();
     machine_index.clear();
-    changed_chunks.clear();
+    changes.clear();
+    last_change = recorded_through = 0;
     task_count = 0;
     for (auto& t : teams) t.used = {};
 }
@@ -137,14 +134,8 @@
 }
 
 void Tables::touch(Index index, uint32_t task) {
-    auto& job = *jobs[index];
-    uint32_t c = task / chunk_tasks;
-    auto& chunk = job.chunks[c];
-    job.tasks[task].change = ++chunk.change;
-    if (!chunk.queued) {
-        chunk.queued = true;
-        changed_chunks.emplace_back(index, c);
-    }
+    jobs[index]->tasks[task].change = ++last_change;
+    changes.push_back({{index, task}, last_change});
 }
 
 void Tables::set_phase(Job& job, Task& task, TaskPhase phase) {
@@ -167,6 +158,18 @@
     teams[job.spec.team].used += job.spec.need;
 }
 
+void Tables::restore_counts(Index index) {
+    auto& job = *jobs[index];
+    job.pending = job.done = 0;
+    for (auto& task : job.tasks) {
+        if (task.state == TaskState::Done)
+            ++job.done;
+        else
+            ++job.pending;
+        job.gang_attempt = std::max(job.gang_attempt, task.attempt);
+    }
+}
+
 void Tables::place(Index index, uint32_t t, Index machine, uint32_t attempt, double now) {
     restore_placed(index, t, machine, attempt, static_cast<uint32_t>(machines[machine]->session));
     auto& task = jobs[index]->tasks[t];
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -19,7 +19,7 @@
     uint32_t attempt = 0;
     Index machine = kNone;   // while Placed: the task may be there until proven gone
     uint32_t session = 0;    // of that machine, when it was placed
-    uint32_t change = 0;     // the chunk's change number at this task's last change
+    uint32_t change = 0;     // the tables' change number at this task's last change
     uint64_t start_seq = 0;  // the report answered with its start, 0: none yet
     float placed_at = 0, running_at = 0;
     TaskState state = TaskState::Pending;
@@ -31,24 +31,16 @@
     }
 };
 
-// Tasks are recorded in chunks, each one key of the state service.
-struct Chunk {
-    uint64_t version = 0;    // of its key, 0: not there
-    uint32_t change = 0;     // last change in memory
-    uint32_t committed = 0;  // last change recorded
-    bool queued = false;
-};
-
 struct Job {
     JobSpec spec;
     double submitted = 0;  // time of day, seconds
     double seen_at = 0;    // when it was submitted, by the steady clock of this leader
-    uint64_t version = 0;  // of its key, 0: not recorded yet
+    uint64_t version = 0;  // the revision that recorded it, 0: not recorded yet
+    uint64_t base = 0;     // the segment of the log from which on it is told in full
     bool cancelled = false;
     bool cancel_recorded = false;  // and so may be told
     bool ending = false;           // its end is queued to be recorded
     std::vector<Task> tasks;
-    std::vector<Chunk> chunks;
     uint32_t pending = 0, placed = 0, done = 0, running = 0;
     uint32_t first_pending = 0;  // no pending task lies below
     bool gang_ending = false;    // the current attempt is over: every task of it must go first
@@ -65,6 +57,12 @@
     bool operator==(const TaskRef&) const = default;
 };
 
+// A change of a task that is to be recorded; stale once the task has changed again.
+struct TaskChange {
+    TaskRef ref;
+    uint32_t change = 0;
+};
+
 struct ExitedEntry {
     std::string job;
     uint32_t task = 0;
@@ -146,7 +144,6 @@
     std::unordered_map<std::string, Index> job_index, machine_index;
     std::vector<JobClass> classes;                     // by class index
     std::vector<std::pair<double, Refusal>> refusals;  // until when not to ask again
-    uint32_t chunk_tasks;                              // tasks in a chunk
     size_t task_count = 0, max_tasks;                  // over all jobs; what memory allows
 
     Index add_job(JobSpec spec, double submitted, double now);
@@ -159,18 +156,25 @@
     void describe_machine(Machine& m, const std::string& type, const std::string& zone, bool spot);
     void set_types(std::vector<MachineType> list);
 
-    // The only three ways a task changes its place. Each marks its chunk as changed.
+    // The only three ways a task changes its place. Each is to be recorded.
     void place(Index job, uint32_t task, Index machine, uint32_t attempt, double now);
     void vacate(Index job, uint32_t task, double now);
     void finish(Index job, uint32_t task, double now);
+    // While a fresh leader reads the records: raw values, put in order for each job by the last call.
+    void restore_counts(Index job);
     void restore_placed(Index job, uint32_t task, Index machine, uint32_t attempt, uint32_t session);
 
     void set_phase(Job& job, Task& task, TaskPhase phase);
     bool recorded(const Job& job, uint32_t task) const {
-        return job.tasks[task].change <= job.chunks[task / chunk_tasks].committed;
+        return job.tasks[task].change <= recorded_through;
+    }
+    // What changed, in order, and up to which change all is recorded.
+    std::deque<TaskChange> changes;
+    uint32_t last_change = 0, recorded_through = 0;
+    bool current(const TaskChange& c) const {
+        auto* job = c.ref.job < jobs.size() ? jobs[c.ref.job].get() : nullptr;
+        return job && c.ref.task < job->tasks.size() && job->tasks[c.ref.task].change == c.change;
     }
-    // Chunks changed and not yet queued for recording are handed out through this.
-    std::deque<std::pair<Index, uint32_t>> changed_chunks;
 
     // What a job should still be done by, on the steady clock, given that it can't be before `earliest`;
     // `missed`: how many such times are past saving.
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -18,6 +18,9 @@
 constexpr size_t kMailbox = 4096;
 constexpr size_t kMaxFinals = 20000;  // final states kept in memory; the rest are read through
 constexpr size_t kMaxStrays = 2000;
+constexpr int kSegmentsAPage = 50;
+const std::string kOldJobs = "j/";
+constexpr double kFlushPause_s = 0.04;  // events gather between two transactions
 constexpr double kHold_s = 0.35;  // a report waits this long for records at most
 constexpr double kAsk_s = 2.0;
 constexpr double kClosingPause_s = 4;  // one machine at a time: its tasks must find their places first
@@ -50,7 +53,7 @@
       tenure_(std::move(tenure)),
       mailbox_(io, kMailbox),
       tables_(settings),
-      ledger_(tables_, tenure_->token, settings.txn_ops),
+      ledger_(tables_, tenure_->token, {settings.txn_ops, settings.value_kb}),
       random_(std::random_device{}()),
       // A share is left to renewals and to what other controllers ask for.
       writes_(settings.state_write_rps * 0.9, 0.8),
@@ -144,14 +147,16 @@
     }
 }
 
-// Jobs first, then their tasks, page by page.
+// Single records first, the head of the log among them, then its segments, page by page.
 asio::awaitable<bool> Leader::load() {
     tables_.clear_work();
     ledger_.clear();
-    for (const std::string& prefix : {std::string("j/"), std::string("t/"), kRoundKey, kTypesKey}) {
+    double started = steady_now();
+    size_t segments = 0;
+    for (const std::string& prefix : {kRoundKey, kTypesKey, kLogKey, kSegments, kOldJobs}) {
         std::string after;
         for (bool more = true; more;) {
-            auto page = co_await state_.list(prefix, after, 200, 3);
+            auto page = co_await state_.list(prefix, after, kSegmentsAPage, 3);
             if (stopped_) co_return false;
             if (!page) {
                 if (page.outcome == StateOutcome::Unknown)
@@ -169,10 +174,13 @@
                         ledger_.load_note(item.key, item.version);
                         recorded_types_ = boost::json::serialize(item.value);
                         if (!tables_.types_known) tables_.set_types(parse_machine_types(recorded_types_));
-                    } else if (prefix == "j/") {
-                        ledger_.load_job(item, steady_now());
-                    } else if (prefix == "t/") {
-                        ledger_.load_chunk(item, steady_now());
+                    } else if (item.key == kLogKey) {
+                        ledger_.load_head(item);
+                    } else if (prefix == kSegments) {
+                        ledger_.load_segment(item, steady_now());
+                        ++segments;
+                    } else if (prefix == kOldJobs) {
+                        throw BadMessage("of a version that kept a key for each job; see docs/operations.md");
                     }
                 } catch (const BadMessage& e) {
                     // Leading without a record could start a task twice: another try, never a guess.
@@ -182,6 +190,8 @@
             }
         }
     }
+    ledger_.loaded(steady_now());
+    spdlog::info("leader: read {} segments in {:.2f}s", segments, steady_now() - started);
     co_return true;
 }
 
@@ -316,7 +326,7 @@
     std::string id = spec.id;
     auto index = tables_.add_job(std::move(spec), wall_now(), now_);
     auto& job = *tables_.jobs[index];
-    if (job_record(job, tables_.names, true).size() > settings_.value_kb * 1024 - 64) {
+    if (job_record(job, tables_.names).size() + 20 > ledger_.max_entry()) {  // and its cancellation
         tables_.remove_job(index);
         return reply.set({400, R"({"error":"the job's description is too long"})"});
     }
@@ -386,7 +396,7 @@
 void Leader::flush() {
     if (flushing_ || now_ < flush_not_before_ || !sure(now_) || !ledger_.waiting()) return;
     double budget = writes_.available(now_);
-    // The end of a job takes three changes; less than that is left to users alone.
+    // The end of a job takes two changes; less than that is left to users alone.
     if (budget < (ledger_.urgent() ? 1 : 3)) return;
     auto batch = ledger_.next(static_cast<int>(budget));
     if (batch.empty()) return;
@@ -451,6 +461,7 @@
     flushing_ = false;
     if (m.result.outcome == StateOutcome::Ok) {
         state_worked_at_ = now_;
+        flush_not_before_ = now_ + kFlushPause_s;
         metrics_.count("transactions_total");
         ledger_.committed(m.batch, m.result.value);
         for (auto& e : m.batch.entries) {
