--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -227,8 +227,12 @@
             due = std::min(due, at);
     };
     if (job.spec.deadline_s >= 0) consider(job.spec.deadline_s);
-    if (job.spec.job_class < classes.size())
-        for (double within : classes[job.spec.job_class].done_within_s) consider(within);
+    if (job.spec.job_class < classes.size()) {
+        auto& c = classes[job.spec.job_class];
+        for (double within : c.done_within_s) consider(within);
+        // A job that may still start in time ends its run after that.
+        if (c.start_within_s > 0 && job.placed + job.done == 0) consider(c.start_within_s + expected_run_s(job.spec));
+    }
     return due;
 }
 
