Jobs within their team's guarantee go first of all

Cause: a job that fits its team's guarantee beside the team's earlier jobs need not wait for other teams, yet it waited behind every job of higher priority.

--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -447,6 +447,8 @@
 void Ledger::loaded(double now) {
     for (Index j = 0; j < tables_.jobs.size(); ++j)
         if (tables_.jobs[j]) tables_.restore_counts(j);
+    for (auto& job : tables_.jobs)
+        if (job) tables_.mark_guaranteed(*job);
     for (auto& [j, names] : loading_)
         for (uint32_t t = 0; t < names.size(); ++t) {
             if (names[t].empty()) continue;
--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -58,9 +58,20 @@
     auto index = static_cast<Index>(free - jobs.begin());
     job_index[job->spec.id] = index;
     *free = std::move(job);
+    mark_guaranteed(*jobs[index]);
     return index;
 }
 
+void Tables::mark_guaranteed(Job& job) const {
+    if (job.spec.team >= teams.size()) return;
+    Resources sum = job.spec.need * job.spec.tasks;
+    for (auto& other : jobs)
+        if (other && other.get() != &job && other->spec.team == job.spec.team && other->submitted <= job.submitted)
+            sum += other->spec.need * (other->spec.tasks - other->done);
+    auto& owed = teams[job.spec.team].guarantee;
+    job.guaranteed = sum.cpu <= owed.cpu && sum.gpu <= owed.gpu;
+}
+
 void Tables::remove_job(Index index) {
     auto& job = *jobs[index];
     for (uint32_t t = 0; t < job.tasks.size(); ++t)
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -48,6 +48,9 @@
     double not_before = 0;  // back-off of a job that fails on good machines
     uint32_t failures = 0;
     std::set<Index> failed_on;
+    // All of it fitted its team's guarantee beside the team's unfinished jobs when it came: it need not wait
+    // for other teams.
+    bool guaranteed = false;
     bool active() const { return version != 0 && !cancelled && !ending; }
 };
 
@@ -148,6 +151,7 @@
 
     Index add_job(JobSpec spec, double submitted, double now);
     void remove_job(Index job);
+    void mark_guaranteed(Job& job) const;
     void clear_work();  // jobs and machines, not what is offered
     Job* find_job(const std::string& id);
     Index add_machine(const std::string& name, double now);
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -35,7 +35,7 @@
 
 std::vector<Index> waiting_jobs(const Tables& tables, double now) {
     struct Row {
-        std::tuple<int, bool, int64_t, int, double, double, std::string_view> key;
+        std::tuple<bool, int, bool, int64_t, int, double, double, std::string_view> key;
         Index job;
     };
     std::vector<Row> rows;
@@ -47,7 +47,7 @@
         // Among equals, those that can still be in time go first, and of them the one due soonest.
         int missed;
         double due = tables.due(*job, now + tables.expected_run_s(job->spec), missed);
-        rows.push_back({{-static_cast<int>(job->spec.priority),
+        rows.push_back({{!job->guaranteed, -static_cast<int>(job->spec.priority),
                          !tables.within_guarantee(tables.teams[job->spec.team], job->spec.need),
                          -job->spec.need.gpu, missed, due, job->submitted, job->spec.id},
                         j});
