--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -15,6 +15,7 @@
 constexpr double kForward_s = 2.2;
 constexpr double kPing_s = 1.0;
 constexpr double kDeaf_s = 6;  // a follower this long without its leader sends users elsewhere
+constexpr double kSlow_s = 0.15;  // answers later than this are logged at debug
 constexpr size_t kMaxRelayed = 10000;
 
 // Arguments of awaited calls are named variables throughout: GCC 12 destroys aggregates that are written
@@ -128,7 +129,9 @@
     double started = steady_now();
     const char* kind = "other";
     auto reply = co_await route(std::move(r), kind);
-    metrics_.request(kind, reply.status, steady_now() - started);
+    double took = steady_now() - started;
+    metrics_.request(kind, reply.status, took);
+    if (reply.status >= 429 || took > kSlow_s) spdlog::debug("http: {} {} after {:.3f}s", kind, reply.status, took);
     co_return reply;
 }
 
