Among equal jobs a machine goes first to one whose image it has

Cause: where jobs wait, the room that comes free goes to the next job whatever images the machine has. Now jobs of one rank are looked at twice: with machines that have their image (or fetch it already), then with any.

--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -33,9 +33,11 @@
     if (job.spec.one_zone || job.spec.spread) ++in_zone[zone];
 }
 
-std::vector<Index> waiting_jobs(const Tables& tables, double now) {
+std::vector<std::vector<Index>> waiting_ranks(const Tables& tables, double now) {
+    // Jobs of one rank are equals but for when they are due.
+    using Rank = std::tuple<bool, int, bool, int64_t, int>;
     struct Row {
-        std::tuple<bool, int, bool, int64_t, int, double, double, std::string_view> key;
+        std::tuple<Rank, double, double, std::string_view> key;
         Index job;
     };
     std::vector<Row> rows;
@@ -47,28 +49,43 @@
         // Among equals, those that can still be in time go first, and of them the one due soonest.
         int missed;
         double due = tables.due(*job, now + tables.expected_run_s(job->spec), missed);
-        rows.push_back({{!job->guaranteed, -static_cast<int>(job->spec.priority),
-                         !tables.within_guarantee(tables.teams[job->spec.team], job->spec.need),
-                         -job->spec.need.gpu, missed, due, job->submitted, job->spec.id},
-                        j});
+        Rank rank{!job->guaranteed, -static_cast<int>(job->spec.priority),
+                  !tables.within_guarantee(tables.teams[job->spec.team], job->spec.need), -job->spec.need.gpu,
+                  missed};
+        rows.push_back({{rank, due, job->submitted, job->spec.id}, j});
     }
     std::sort(rows.begin(), rows.end(), [](auto& a, auto& b) { return a.key < b.key; });
+    std::vector<std::vector<Index>> out;
+    for (size_t i = 0; i < rows.size(); ++i) {
+        if (i == 0 || std::get<0>(rows[i].key) != std::get<0>(rows[i - 1].key)) out.emplace_back();
+        out.back().push_back(rows[i].job);
+    }
+    return out;
+}
+
+std::vector<Index> waiting_jobs(const Tables& tables, double now) {
     std::vector<Index> out;
-    out.reserve(rows.size());
-    for (auto& r : rows) out.push_back(r.job);
+    for (auto& rank : waiting_ranks(tables, now)) out.insert(out.end(), rank.begin(), rank.end());
     return out;
 }
 
+// The image is there, or is being fetched for another task.
+bool image_near(const Tables& tables, const Machine& m, Index image) {
+    return m.has_image(image) || std::any_of(m.tasks.begin(), m.tasks.end(), [&](auto& ref) {
+               return tables.jobs[ref.job]->spec.image == image;
+           });
+}
+
 namespace {
 
 // Smaller is a better fit. GPUs are not spent on tasks that need none while there is another place.
-using Fit = std::tuple<bool, bool, bool, int64_t, bool, bool, int64_t, int64_t>;
+using Fit = std::tuple<bool, bool, bool, bool, int64_t, bool, int64_t, int64_t>;
 Fit fit(const Job& job, const Machine& m, Index index) {
     auto left = m.room() - job.spec.need;
     bool wasted_gpus = job.spec.need.gpu == 0 && m.size.gpu > 0;
     int64_t rest = job.spec.need.gpu > 0 ? left.gpu : left.cpu;
-    return {wasted_gpus, job.failed_on.size() && job.failed_on.count(index) > 0,
-            m.tasks.empty(), rest, !m.has_image(job.spec.image), !m.spot, left.cpu, left.mem};
+    return {wasted_gpus, job.failed_on.size() && job.failed_on.count(index) > 0, !m.has_image(job.spec.image),
+            m.tasks.empty(), rest, !m.spot, left.cpu, left.mem};
 }
 
 // Where tasks may run: what jobs ask for, room aside.
@@ -84,17 +101,18 @@
 // One pass over the waiting jobs. Room only shrinks during it.
 class Pass {
   public:
-    Pass(Tables& tables, const Usable& usable, const std::vector<Index>& waiting, double now)
+    Pass(Tables& tables, const Usable& usable, const std::vector<std::vector<Index>>& ranks, double now)
         : tables_(tables), now_(now) {
         Resources least;
         bool any = false;
-        for (auto j : waiting) {
-            auto& need = tables.jobs[j]->spec.need;
-            least = any ? Resources{std::min(least.cpu, need.cpu), std::min(least.gpu, need.gpu),
-                                    std::min(least.mem, need.mem)}
-                        : need;
-            any = true;
-        }
+        for (auto& rank : ranks)
+            for (auto j : rank) {
+                auto& need = tables.jobs[j]->spec.need;
+                least = any ? Resources{std::min(least.cpu, need.cpu), std::min(least.gpu, need.gpu),
+                                        std::min(least.mem, need.mem)}
+                            : need;
+                any = true;
+            }
         for (Index i = 0; any && i < tables.machines.size(); ++i) {
             auto* m = tables.machines[i].get();
             if (!m || !least.fits_in(m->room()) || !usable(*m)) continue;
@@ -216,12 +234,15 @@
     return false;
 }
 
-void place_tasks(Tables& tables, Pass& pass, Index index, const Resources& held, double now, size_t most,
-                 std::vector<Placement>& out) {
+void place_tasks(Tables& tables, Pass& pass, Index index, const Resources& held, bool image_only, double now,
+                 size_t most, std::vector<Placement>& out) {
     auto& job = *tables.jobs[index];
     auto& team = tables.teams[job.spec.team];
     if (!tables.within_limit(team, held + job.spec.need)) return;
     auto candidates = pass.candidates(index);
+    if (image_only)
+        std::erase_if(candidates,
+                      [&](Index i) { return !image_near(tables, *tables.machines[i], job.spec.image); });
     if (candidates.empty()) return;
     ZoneRule rule(tables, job);
     uint32_t t = job.first_pending;
@@ -241,8 +262,8 @@
 
 std::vector<Placement> place_waiting(Tables& tables, const Usable& usable, double now, size_t most) {
     std::vector<Placement> out;
-    auto waiting = waiting_jobs(tables, now);
-    Pass pass(tables, usable, waiting, now);
+    auto ranks = waiting_ranks(tables, now);
+    Pass pass(tables, usable, ranks, now);
     // Of each team's limit, what its large jobs are waiting for: small tasks that come after them would
     // otherwise fill the limit again each time that one ends, and a large job would never get its share.
     // What could not be filled by large jobs alone is left to the others.
@@ -251,17 +272,30 @@
     for (auto& job : tables.jobs)
         if (job && job->placed > 0 && tables.large(job->spec))
             large[job->spec.team] += job->spec.need * job->placed;
-    for (auto j : waiting) {
-        if (out.size() >= most) break;
-        auto& job = *tables.jobs[j];
-        auto& team = tables.teams[job.spec.team];
+    auto kept = [&](const Job& job) {
         auto& [above, share] = held[job.spec.team];
-        auto kept = job.spec.priority < above ? share : Resources{};
-        if (job.spec.kind == JobKind::Gang)
-            place_gang(tables, pass, j, kept, now, out);
-        else
-            place_tasks(tables, pass, j, kept, now, most, out);
-        if (job.pending > 0 && (team.limit.cpu || team.limit.gpu) && tables.large(job.spec)) {
+        return job.spec.priority < above ? share : Resources{};
+    };
+    for (auto& rank : ranks) {
+        if (out.size() >= most) break;
+        // Among equals, a machine goes first to a job whose image it has: where jobs wait, a machine would else
+        // fetch an image for most of its tasks.
+        if (rank.size() > 1)
+            for (auto j : rank) {
+                auto& job = *tables.jobs[j];
+                if (job.spec.kind != JobKind::Gang && job.spec.image_gb > 0)
+                    place_tasks(tables, pass, j, kept(job), true, now, most, out);
+            }
+        for (auto j : rank) {
+            auto& job = *tables.jobs[j];
+            if (job.pending == 0) continue;
+            auto& team = tables.teams[job.spec.team];
+            if (job.spec.kind == JobKind::Gang)
+                place_gang(tables, pass, j, kept(job), now, out);
+            else
+                place_tasks(tables, pass, j, kept(job), false, now, most, out);
+            if (job.pending == 0 || (!team.limit.cpu && !team.limit.gpu) || !tables.large(job.spec)) continue;
+            auto& [above, share] = held[job.spec.team];
             auto more = job.spec.need * (job.spec.kind == JobKind::Gang ? job.pending : 1);
             auto filled = large[job.spec.team] + share + more;
             if (!tables.below_limit(team, filled)) continue;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -20,6 +20,9 @@
 
 // Jobs with pending tasks that may be placed now, most pressing first.
 std::vector<Index> waiting_jobs(const Tables& tables, double now);
+// The same, equals together.
+std::vector<std::vector<Index>> waiting_ranks(const Tables& tables, double now);
+bool image_near(const Tables& tables, const Machine& m, Index image);
 
 // Places what fits, marking it in the tables, and returns it.
 std::vector<Placement> place_waiting(Tables& tables, const Usable& usable, double now, size_t most = 4096);
