--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -21,7 +21,7 @@
 constexpr int kSegmentsAPage = 50;
 const std::string kOldJobs = "j/";
 constexpr double kFlushPause_s = 0.04;  // events gather between two transactions
-constexpr double kHold_s = 0.35;  // a report waits this long for records at most
+constexpr double kHold_s = 0.6;  // a report waits this long for records at most
 constexpr double kAsk_s = 2.0;
 constexpr double kClosingPause_s = 4;  // one machine at a time: its tasks must find their places first
 constexpr double kReplacementBoots = 3;  // a boot, and about two of them for the images
@@ -563,19 +563,23 @@
         return reply.set({503, "{}"});
     }
     bool newer = std::pair(r.session, r.seq) > std::pair(m.session, m.seq);
-    Held held{reply, r.seq, now_ + kHold_s};
+    Held held{reply, r.seq, now_ + kHold_s, 0};
     if (!newer) {
         // Late or repeated: what it says is old, and its worker has given up on the answer.
         m.last_answer = now_;
         return reply.set({200, report_answer(tenure_->token, {})});
     }
+    size_t before = m.tasks.size();
     take_report(m, index, r);
+    // What came free is offered to a scheduling pass before the answer goes: without it, the next task's start
+    // waited for the next regular report.
+    if (m.tasks.size() < before) held.passes = passes_ + 1;
     if (auto it = held_.find(index); it != held_.end()) {
         it->second.reply.set({503, "{}"});
         held_.erase(it);
     }
     if (dirty_ && now_ >= next_schedule_) schedule();
-    if (sure(now_) && unsettled(m))
+    if (sure(now_) && (held.passes > passes_ || unsettled(m)))
         held_.emplace(index, held);
     else
         answer_report(index, held);
@@ -884,7 +888,7 @@
         if (!m) {
             it->second.reply.set({503, "{}"});
             it = held_.erase(it);
-        } else if ((due_only && now_ >= it->second.until) || !unsettled(*m)) {
+        } else if ((due_only && now_ >= it->second.until) || (it->second.passes <= passes_ && !unsettled(*m))) {
             answer_report(it->first, it->second);
             it = held_.erase(it);
         } else {
@@ -1191,6 +1195,7 @@
     next_schedule_ = now_ + properties_.scheduling_pause_s;
     if (!sure(now_)) return;
     dirty_ = false;
+    ++passes_;
     place_waiting(tables_, usable_now(), now_);
 }
 
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -76,6 +76,7 @@
         Reply reply;
         uint64_t seq = 0;
         double until = 0;
+        uint64_t passes = 0;  // and for this scheduling pass
     };
 
     boost::asio::awaitable<void> run(std::shared_ptr<Leader> self);
@@ -172,7 +173,7 @@
 
     bool dirty_ = true;  // something changed that scheduling should look at
     double next_schedule_ = 0, next_round_ = 0, next_check_ = 0, next_sizing_ = 0, next_closing_ = 0;
-    uint64_t rounds_ = 0;
+    uint64_t rounds_ = 0, passes_ = 0;
     std::string recorded_types_, recorded_shape_;
     bool renting_ = false, returning_ = false, listed_once_ = false;
     double rent_not_before_ = 0;
