--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -79,13 +79,13 @@
 namespace {
 
 // Smaller is a better fit. GPUs are not spent on tasks that need none while there is another place.
-using Fit = std::tuple<bool, bool, bool, bool, int64_t, bool, int64_t, int64_t>;
+using Fit = std::tuple<bool, bool, bool, int64_t, bool, bool, int64_t, int64_t>;
 Fit fit(const Job& job, const Machine& m, Index index) {
     auto left = m.room() - job.spec.need;
     bool wasted_gpus = job.spec.need.gpu == 0 && m.size.gpu > 0;
     int64_t rest = job.spec.need.gpu > 0 ? left.gpu : left.cpu;
-    return {wasted_gpus, job.failed_on.size() && job.failed_on.count(index) > 0, !m.has_image(job.spec.image),
-            m.tasks.empty(), rest, !m.spot, left.cpu, left.mem};
+    return {wasted_gpus, job.failed_on.size() && job.failed_on.count(index) > 0,
+            m.tasks.empty(), rest, !m.has_image(job.spec.image), !m.spot, left.cpu, left.mem};
 }
 
 // Where tasks may run: what jobs ask for, room aside.
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -147,6 +147,7 @@
                         below(3) ? 0 : 1, static_cast<Priority>(below(4)), below(4) ? "blue" : "red");
         s.need.mem = 1000 * (1 + below(12));
         s.image = names.images.intern("i" + std::to_string(below(4)));
+        s.image_gb = below(2);
         s.spot = below(2);
         s.one_zone = kind == JobKind::Gang && below(2);
         s.spread = !s.one_zone && below(5) == 0;
@@ -187,6 +188,38 @@
     EXPECT_GT(placed, 5000u);
 }
 
+TEST(Placement, RanksGuaranteesThenTimesToStart) {
+    World w;
+    // Team red is owed 16 CPUs: req-1 fits them, req-2 does not beside it.
+    auto small = w.job(w.spec("req-1", JobKind::Array, 4, 2, 0, Priority::Low, "red"));
+    auto beyond = w.job(w.spec("req-2", JobKind::Array, 8, 2, 0, Priority::Low, "red"));
+    auto high = w.job(w.spec("req-3", JobKind::Array, 1, 1, 0, Priority::High, "blue"));
+    EXPECT_TRUE(w.tables.jobs[small]->guaranteed);
+    EXPECT_FALSE(w.tables.jobs[beyond]->guaranteed);
+    EXPECT_EQ(waiting_jobs(w.tables, w.now), (std::vector<Index>{small, high, beyond}));
+    // Of two jobs of a class that should start within 30 s, one is late already: it no longer holds up the other.
+    World late;
+    late.tables.classes.resize(late.tables.names.classes.intern("class") + 1);
+    late.tables.classes.back().start_within_s = 30;
+    late.tables.classes.back().done_within_s = {250};
+    auto old = late.job(late.spec("req-1", JobKind::Array, 1, 1));
+    late.now += 40;
+    auto fresh = late.job(late.spec("req-2", JobKind::Array, 1, 1));
+    EXPECT_EQ(waiting_jobs(late.tables, late.now), (std::vector<Index>{fresh, old}));
+}
+
+TEST(Placement, GivesAMachineToAnEqualJobWhoseImageItHas) {
+    World w;
+    auto m = w.machine("m0");
+    auto other = w.spec("req-1", JobKind::Array, 1, 5), near = w.spec("req-2", JobKind::Array, 1, 5);
+    other.image = w.tables.names.images.intern("other");
+    other.image_gb = near.image_gb = 4;
+    w.job(other);
+    auto j = w.job(near);
+    w.tables.machines[m]->images = {near.image};
+    EXPECT_EQ(place_waiting(w.tables, any_machine, w.now), (std::vector<Placement>{{j, 0, m, 1}}));
+}
+
 TEST(Placement, HoldsNoMoreOfALimitThanMachinesCanFill) {
     // Small tasks of a team waited for minutes beside idle machines, for a limit that its large jobs could not
     // reach for want of machines.
@@ -211,6 +244,22 @@
     }
 }
 
+TEST(Sizing, RentsNothingInAZoneThatFellSilent) {
+    // During a cut of a zone, machines used to be rented there, and paid for, that nobody could reach.
+    World w;
+    for (int i = 0; i < 6; ++i) {
+        auto& m = *w.tables.machines[w.machine("m" + std::to_string(i), "std", i < 3 ? "a" : "b")];
+        m.status = MachineStatus::Running;
+        m.up = i >= 3;
+    }
+    auto s = w.spec("req-1", JobKind::Array, 40, 8);
+    s.estimate_s = 100;
+    w.job(s);
+    auto rentals = plan_rentals(w.tables, any_machine, {0.3, 1}, w.now);
+    ASSERT_FALSE(rentals.empty());
+    for (auto& r : rentals) EXPECT_EQ(w.tables.names.zones.name(r.zone), "b");
+}
+
 TEST(Sizing, AnIdleMachineIsKeptForGangsOnly) {
     // Every waiting job once kept every machine that suited it, though the job was held back by other things.
     struct Row {
--- a/tests/placement_reference.h
+++ b/tests/placement_reference.h
@@ -29,26 +29,27 @@
         auto* owner = tables.jobs[m->reserved_for].get();
         return !owner || owner->spec.priority < job.spec.priority;
     }
-    Index best(Index j, const ZoneRule& rule, Index zone) const {
+    Index best(Index j, const ZoneRule& rule, Index zone, bool image_only = false) const {
         auto& job = *tables.jobs[j];
         Index best = kNone;
         for (Index i = 0; i < tables.machines.size(); ++i) {
             if (!candidate(j, i)) continue;
             auto& m = *tables.machines[i];
             if (!rule.allows(m.zone) || (zone != kNone && m.zone != zone) ||
-                !tables.leaves_gpus_usable(job.spec, m))
+                !tables.leaves_gpus_usable(job.spec, m) ||
+                (image_only && !image_near(tables, m, job.spec.image)))
                 continue;
             if (best == kNone || fit(job, i) < fit(job, best)) best = i;
         }
         return best;
     }
-    void array(Index j) {
+    void array(Index j, bool image_only) {
         auto& job = *tables.jobs[j];
         ZoneRule rule(tables, job);
         for (uint32_t t = 0; t < job.tasks.size(); ++t) {
             if (job.tasks[t].state != TaskState::Pending) continue;
             if (!tables.within_limit(tables.teams[job.spec.team], job.spec.need)) return;
-            auto i = best(j, rule, kNone);
+            auto i = best(j, rule, kNone, image_only);
             if (i == kNone) return;
             tables.place(j, t, i, job.tasks[t].attempt + 1, now);
             rule.add(tables.machines[i]->zone);
@@ -88,8 +89,13 @@
         }
     }
     const std::vector<Placement>& run() {
-        for (auto j : waiting_jobs(tables, now))
-            tables.jobs[j]->spec.kind == JobKind::Gang ? gang(j) : array(j);
+        for (auto& rank : waiting_ranks(tables, now)) {
+            if (rank.size() > 1)
+                for (auto j : rank)
+                    if (tables.jobs[j]->spec.kind != JobKind::Gang && tables.jobs[j]->spec.image_gb > 0)
+                        array(j, true);
+            for (auto j : rank) tables.jobs[j]->spec.kind == JobKind::Gang ? gang(j) : array(j, false);
+        }
         return out;
     }
 };
