--- a/src/coordination/leader_fleet.cpp
+++ b/src/coordination/leader_fleet.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr double kClosingPause_s = 4;    // one machine at a time: its tasks must find their places first
-constexpr double kReplacementBoots = 3;  // a boot, and about two of them for the images
+constexpr double kReplacementBoots = 1;
 
 }  // namespace
 
