--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -130,7 +130,7 @@
     bool unsettled(const Machine& m) const;
     void machine_gone(Index machine, const char* why);
     void check_machines();
-    double replacement_s(const Machine& m) const;
+    double replacement_s(const Machine& m, bool cut_off) const;
     void schedule();
     void preempt();
     void size_fleet();
--- a/src/coordination/leader_fleet.cpp
+++ b/src/coordination/leader_fleet.cpp
@@ -13,8 +13,11 @@
 
 namespace {
 
-constexpr double kClosingPause_s = 4;    // one machine at a time: its tasks must find their places first
-constexpr double kReplacementBoots = 1;
+constexpr double kClosingPause_s = 4;  // one machine at a time: its tasks must find their places first
+// A silent machine's replacement has to boot. Where a whole zone is silent the machines are sound and will
+// come back with their images, which a replacement would have to fetch as well.
+constexpr double kAloneBoots = 1;
+constexpr double kCutBoots = 3;
 
 }  // namespace
 
@@ -34,13 +37,14 @@
 }
 
 // Until a machine rented in place of this one would do the same work.
-double Leader::replacement_s(const Machine& m) const {
+double Leader::replacement_s(const Machine& m, bool cut_off) const {
     if (m.type >= tables_.types.size() || !tables_.types[m.type].offered) return 0;
-    return kReplacementBoots * tables_.boot_factor * tables_.types[m.type].type.boot_s;
+    return (cut_off ? kCutBoots : kAloneBoots) * tables_.boot_factor * tables_.types[m.type].type.boot_s;
 }
 
 void Leader::check_machines() {
     if (past_grace()) deaf_at_ = now_;
+    auto cut = silent_zones(tables_, usable_now());
     for (Index i = 0; i < tables_.machines.size(); ++i) {
         auto* m = tables_.machines[i].get();
         if (!m) continue;
@@ -59,7 +63,7 @@
         bool running = m->up_at > 0 || m->status == MachineStatus::Running;
         if (!m->up && running && !m->doomed &&
             now_ - std::max({m->last_report, deaf_at_, tenure_->won}) >
-                settings_.lease_s + replacement_s(*m)) {
+                settings_.lease_s + replacement_s(*m, m->zone < cut.size() && cut[m->zone])) {
             spdlog::info("machine: {} not heard of for too long, returned", m->name);
             m->doomed = true;
         }
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -92,25 +92,6 @@
     return out;
 }
 
-// Zones of which most machines that once reported are silent: they are cut off, and a machine rented there
-// could not be used.
-std::vector<bool> silent_zones(const Tables& tables, const Usable& usable) {
-    std::vector<int> balance(tables.names.zones.size(), 0);
-    for (auto& m : tables.machines) {
-        if (!m || m->zone == kNone || m->doomed || m->returning) continue;
-        if (m->up && usable(*m))
-            --balance[m->zone];
-        else if (m->status == MachineStatus::Running && m->notice_until < 0 && !m->missing)
-            ++balance[m->zone];
-    }
-    std::vector<bool> out;
-    for (int b : balance) out.push_back(b > 2);
-    // If no zone is left, it is rather this controller that hears nothing.
-    if (std::all_of(out.begin(), out.end(), [](bool silent) { return silent; }))
-        out.assign(out.size(), false);
-    return out;
-}
-
 // The offer that is cheapest for a task of `tasks`; spot first where it may be used.
 Coming cheapest_offer(const Tables& tables, const JobSpec& spec, size_t tasks, Index only,
                       const ZoneRule& rule, const std::vector<bool>& silent, double now) {
@@ -152,6 +133,23 @@
 
 }  // namespace
 
+std::vector<bool> silent_zones(const Tables& tables, const Usable& usable) {
+    std::vector<int> balance(tables.names.zones.size(), 0);
+    for (auto& m : tables.machines) {
+        if (!m || m->zone == kNone || m->doomed || m->returning) continue;
+        if (m->up && usable(*m))
+            --balance[m->zone];
+        else if (m->status == MachineStatus::Running && m->notice_until < 0 && !m->missing)
+            ++balance[m->zone];
+    }
+    std::vector<bool> out;
+    for (int b : balance) out.push_back(b > 2);
+    // If no zone is left, it is rather this controller that hears nothing.
+    if (std::all_of(out.begin(), out.end(), [](bool silent) { return silent; }))
+        out.assign(out.size(), false);
+    return out;
+}
+
 std::vector<Spare> spares(const Tables& tables, const SizingSettings& settings, double now) {
     std::vector<Spare> out;
     for (auto& c : tables.classes) {
--- a/src/coordination/sizing.h
+++ b/src/coordination/sizing.h
@@ -27,6 +27,10 @@
 };
 std::vector<Spare> spares(const Tables& tables, const SizingSettings& settings, double now);
 
+// By zone: most machines there that once reported are silent. The zone is cut off: its machines are sound,
+// and one rented there could not be used.
+std::vector<bool> silent_zones(const Tables& tables, const Usable& usable);
+
 // What waiting work needs beyond the machines that are up or coming up.
 std::vector<Rental> plan_rentals(const Tables& tables, const Usable& usable, const SizingSettings& settings,
                                  double now);
