--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -198,7 +198,7 @@
         std::string text;
         std::vector<TaskChange> told;
         size_t n = 0;
-        uint32_t through = b.through;
+        uint64_t through = b.through;
         for (; n < queue.size() && text.size() < entry_limit_; ++n) {
             auto& c = queue[n];
             if (c.ref.job != index) break;
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -50,7 +50,7 @@
     StateTxn txn;
     std::vector<LedgerEntry> entries;
     std::vector<TaskChange> tasks;  // whose changes it carries
-    uint32_t through = 0;           // every change up to this one is recorded with it
+    uint64_t through = 0;           // every change up to this one is recorded with it
     struct Written {
         uint64_t number;
         std::string text;
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -19,7 +19,7 @@
     uint32_t attempt = 0;
     Index machine = kNone;   // while Placed: the task may be there until proven gone
     uint32_t session = 0;    // of that machine, when it was placed
-    uint32_t change = 0;     // the tables' change number at this task's last change
+    uint64_t change = 0;     // the tables' change number at this task's last change
     uint64_t start_seq = 0;  // the report answered with its start, 0: none yet
     float placed_at = 0, running_at = 0;
     TaskState state = TaskState::Pending;
@@ -63,7 +63,7 @@
 // A change of a task that is to be recorded; stale once the task has changed again.
 struct TaskChange {
     TaskRef ref;
-    uint32_t change = 0;
+    uint64_t change = 0;
 };
 
 struct ExitedEntry {
@@ -172,7 +172,7 @@
     bool recorded(const Job& job, uint32_t task) const { return job.tasks[task].change <= recorded_through; }
     // What changed, in order, and up to which change all is recorded.
     std::deque<TaskChange> changes;
-    uint32_t last_change = 0, recorded_through = 0;
+    uint64_t last_change = 0, recorded_through = 0;
     bool current(const TaskChange& c) const {
         auto* job = c.ref.job < jobs.size() ? jobs[c.ref.job].get() : nullptr;
         return job && c.ref.task < job->tasks.size() && job->tasks[c.ref.task].change == c.change;
--- a/src/coordination/leader_records.cpp
+++ b/src/coordination/leader_records.cpp
@@ -23,7 +23,8 @@
 void Leader::flush() {
     if (flushing_ || now_ < flush_not_before_ || !sure(now_) || !ledger_.waiting()) return;
     double budget = writes_.available(now_);
-    // The end of a job takes two changes; less than that is left to users alone.
+    // The end of a job takes up to three changes (a final state, the open segment and one more); less than
+    // that is left to users alone.
     if (budget < (ledger_.urgent() ? 1 : 3)) return;
     auto batch = ledger_.next(static_cast<int>(budget));
     if (batch.empty()) return;
