--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -46,6 +46,11 @@
     return fmt::format("[\"{}\",{}]", tag, quoted(id));
 }
 
+// `rows`: as add_row writes them, each with its comma.
+std::string tasks_entry(const std::string& id, const std::string& rows) {
+    return fmt::format("[\"t\",{}{}]", quoted(id), rows);
+}
+
 // One row; a run of done tasks is one. Returns the task after it.
 uint32_t add_row(std::string& text, const Job& job, uint32_t t, uint32_t end, const Tables& tables) {
     auto& task = job.tasks[t];
@@ -190,8 +195,8 @@
     return b;
 }
 
-// Changes of tasks, in order; of several to one task only the newest. False: there is more.
-bool Ledger::tell_tasks(Staged& s, LedgerBatch& b) {
+// Changes of tasks, in order, as far as they fit; of several to one task only the newest.
+void Ledger::tell_tasks(Staged& s, LedgerBatch& b) {
     auto& queue = tables_.changes;
     while (!queue.empty()) {
         Index index = queue.front().ref.job;
@@ -208,13 +213,11 @@
             add_row(text, *tables_.jobs[index], c.ref.task, c.ref.task + 1, tables_);
             told.push_back(c);
         }
-        if (!text.empty() && !s.put(fmt::format("[\"t\",{}{}]", quoted(tables_.jobs[index]->spec.id), text)))
-            return false;
+        if (!text.empty() && !s.put(tasks_entry(tables_.jobs[index]->spec.id, text))) return;
         b.tasks.insert(b.tasks.end(), told.begin(), told.end());
         b.through = through;
         queue.erase(queue.begin(), queue.begin() + static_cast<long>(n));
     }
-    return true;
 }
 
 // Segments that what is alive should take, with as much again for what is not.
@@ -256,7 +259,7 @@
                 else
                     t = add_row(text, *job, t, end, tables_);
             }
-            if (!text.empty() && !s.put(fmt::format("[\"t\",{}{}]", quoted(job->spec.id), text))) return;
+            if (!text.empty() && !s.put(tasks_entry(job->spec.id, text))) return;
             cursor_task_ = t;
         }
         if (cursor_task_ < end) return;
@@ -309,7 +312,7 @@
         if (segments_.empty() || segments_.front().number > retelling_) retelling_ = 0;
         if (segments_.empty()) open_.clear();
     }
-    // Half a segment's worth at a time is told anew, and never the open one.
+    // One segment at a time, the oldest, and never the open one.
     if (retelling_ == 0 && segments_.size() > wanted_segments() + 1) {
         retelling_ = segments_.front().number;
         cursor_job_ = kNone;
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -7,7 +7,6 @@
 #pragma once
 #include <deque>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -74,7 +73,6 @@
     bool urgent() const { return !new_jobs_.empty() || !cancels_.empty(); }
     bool waiting() const;
     size_t submissions() const { return new_jobs_.size(); }
-    size_t segments() const { return segments_.size(); }
     // The longest entry that a segment can hold.
     size_t max_entry() const { return hard_limit_ - 8; }
 
@@ -99,7 +97,7 @@
     struct Staged;
     void retell(Staged& s, LedgerBatch& b);
     void drop(LedgerBatch& b, int ops);
-    bool tell_tasks(Staged& s, LedgerBatch& b);
+    void tell_tasks(Staged& s, LedgerBatch& b);
     size_t wanted_segments() const;
     void load_entry(const boost::json::array& entry, double now);
 
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -101,6 +101,7 @@
     double reserved_until = 0;
     std::vector<Index> images;  // observed, most recent last
     Resources room() const { return size - used; }
+    bool reserved(double now) const { return reserved_for != kNone && reserved_until > now; }
     bool has_image(Index image) const {
         return std::find(images.begin(), images.end(), image) != images.end();
     }
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -123,7 +123,7 @@
             auto* m = tables.machines[i].get();
             if (!m || !least.fits_in(m->room()) || !usable(*m)) continue;
             open_.push_back(i);
-            if (reserved(*m)) reserved_for_.push_back(m->reserved_for);
+            if (m->reserved(now)) reserved_for_.push_back(m->reserved_for);
         }
     }
 
@@ -140,7 +140,7 @@
         for (auto i : open_) {
             auto& m = *tables_.machines[i];
             if (!job.spec.need.fits_in(m.room()) || !tables_.machine_allowed(job.spec, m)) continue;
-            if (reserved(m) && m.reserved_for != index) {
+            if (m.reserved(now_) && m.reserved_for != index) {
                 auto* owner = tables_.jobs[m.reserved_for].get();
                 if (owner && owner->spec.priority >= job.spec.priority) continue;
             }
@@ -186,8 +186,6 @@
     }
 
   private:
-    bool reserved(const Machine& m) const { return m.reserved_for != kNone && m.reserved_until > now_; }
-
     Tables& tables_;
     double now_;
     std::vector<Index> open_, reserved_for_;
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -59,7 +59,7 @@
     std::vector<bool> taken(tables.machines.size(), false);
     for (Index i = 0; i < tables.machines.size(); ++i) {
         auto* m = tables.machines[i].get();
-        taken[i] = m && m->reserved_for != kNone && m->reserved_until > now;
+        taken[i] = m && m->reserved(now);
     }
     std::map<std::pair<Index, uint32_t>, bool> stopped;
     for (auto j : waiting_jobs(tables, now)) {
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -446,7 +446,7 @@
             out.push_back(i);
             continue;
         }
-        if (m->reserved_for != kNone && m->reserved_until > now) continue;
+        if (m->reserved(now)) continue;
         if (m->type >= tables.types.size() || !tables.types[m->type].offered) continue;
         // Only a gang has to wait for several machines at once: a single task that could be placed here would
         // have been. Hundreds of idle machines were once kept for jobs held back by their team's limit.
