--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -1,6 +1,7 @@
 #include "bookkeeping/ledger.h"
 
 #include <fmt/format.h>
+#include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <charconv>
@@ -15,17 +16,53 @@
 constexpr size_t kFull = 8 * 1024;
 constexpr size_t kEntryBytes = 700;  // rows of one entry, about
 constexpr size_t kRetoldAtOnce = 3 * 1024;
+constexpr size_t kLeastValue = 1024;  // what any state service should take
+constexpr int kLeastOps = 4;
+constexpr size_t kDroppedAtOnce = 3;
 }  // namespace
 
 std::string segment_key(uint64_t number) { return fmt::format("{}{:016}", kSegments, number); }
 std::string final_key(const std::string& id) { return "f/" + id; }
 
-// Entries of a segment: ["j", {job, at, cancelled}] a job, ["c", id] its cancellation, ["e", id] its end,
-// ["t", id, row...] its tasks. Rows: [task, attempt] waiting, [task, attempt, session, machine] placed,
-// [first, last, "d"] done.
-std::string job_record(const Job& job, const Names& names) {
-    json::object o{{"job", submission_json(job.spec, names)}, {"at", job.submitted}};
+// Entries of a segment: ["j", {job, at, ready, cancelled}] a job, ["c", id] its cancellation, ["e", id, when]
+// its end, ["t", id, row...] its tasks. Rows: [task, attempt] waiting, [task, attempt, session, machine]
+// placed, [first, last, "d"] done. A job too long for one entry: ["p", id, number, text] the pieces of `job`,
+// then ["j", {id, pieces, at, ready, cancelled}]. `ready`, `when` and pieces appear with pipelines only:
+// versions without them read the rest.
+namespace {
+
+json::object job_head(const Job& job) {
+    json::object o{{"at", job.submitted}};
+    if (job.ready > 0) o["ready"] = job.ready;
     if (job.cancel_recorded) o["cancelled"] = true;
+    return o;
+}
+
+json::object job_body(const Job& job, Index index, const Tables& tables) {
+    auto body = submission_json(job.spec, tables.names);
+    if (job.waits && !job.cancel_recorded) {
+        json::array awaits;
+        for (auto d : tables.dependencies().of(index)) awaits.emplace_back(tables.jobs[d]->spec.id);
+        body["awaits"] = std::move(awaits);
+    }
+    return body;
+}
+
+}  // namespace
+
+namespace {
+// What stands behind the pieces of a long record.
+std::string record_head(const Job& job, size_t pieces) {
+    auto head = job_head(job);
+    head["id"] = job.spec.id;
+    head["pieces"] = pieces;
+    return json::serialize(json::array{"j", std::move(head)});
+}
+}  // namespace
+
+std::string job_record(const Job& job, Index index, const Tables& tables) {
+    json::object o{{"job", job_body(job, index, tables)}};
+    for (auto& field : job_head(job)) o.insert(field);
     return json::serialize(json::array{"j", std::move(o)});
 }
 
@@ -46,6 +83,12 @@
     return fmt::format("[\"{}\",{}]", tag, quoted(id));
 }
 
+// When it ended is told where others waited for it: their times count from there.
+std::string end_entry(const Job& job, bool awaited) {
+    if (!awaited) return short_entry("e", job.spec.id);
+    return json::serialize(json::array{"e", job.spec.id, job.ended});
+}
+
 // `rows`: as add_row writes them, each with its comma.
 std::string tasks_entry(const std::string& id, const std::string& rows) {
     return fmt::format("[\"t\",{}{}]", quoted(id), rows);
@@ -104,13 +147,66 @@
     uint64_t number() const { return segments.back().number; }
 };
 
-Ledger::Ledger(Tables& tables, uint64_t token, LedgerLimits limits)
-    : tables_(tables), token_(token), txn_ops_(limits.txn_ops) {
-    hard_limit_ = static_cast<size_t>(limits.value_kb * 1024) - 64;
+Ledger::Ledger(Tables& tables, uint64_t token, LedgerLimits limits) : tables_(tables), token_(token) {
+    set_limits(limits.txn_ops, static_cast<size_t>(limits.value_kb * 1024));
+}
+
+void Ledger::set_limits(int txn_ops, size_t value_bytes) {
+    txn_ops_ = txn_ops;
+    hard_limit_ = value_bytes - 64;
     soft_limit_ = std::min(hard_limit_, kFull);
     entry_limit_ = std::min(kEntryBytes, hard_limit_ / 2);
 }
 
+bool Ledger::shrink() {
+    int ops = std::max(kLeastOps, txn_ops_ / 2);
+    size_t bytes = std::max(kLeastValue, (hard_limit_ + 64) / 2);
+    if (ops >= txn_ops_ && bytes >= hard_limit_ + 64) return false;
+    set_limits(ops, bytes);
+    // What was cut for the larger limits is cut anew. Pieces already recorded are told again from the first.
+    telling_.clear();
+    cursor_job_ = kNone;
+    return true;
+}
+
+void Ledger::note(const std::string& key, std::string record) {
+    if (record.size() > hard_limit_) {
+        // It would never be taken, and all else in its transaction with it.
+        spdlog::error("state: a record of {} bytes for {} is too long, not written", record.size(), key);
+        return;
+    }
+    notes_[key].record = std::move(record);
+}
+
+bool Ledger::can_hold(Index index) const {
+    auto& job = *tables_.jobs[index];
+    auto record = json::serialize(json::array{
+        "j", json::object{{"job", submission_json(job.spec, tables_.names)}, {"at", job.submitted}}});
+    // And its cancellation, and when it became ready. Pieces are not written while a version that can't read
+    // them may still lead; with pipelines all are new.
+    return record.size() + 60 <= hard_limit_ || pipelines_used();
+}
+
+// Usually one.
+std::vector<std::string> Ledger::record_entries(Index index) const {
+    auto& job = *tables_.jobs[index];
+    std::vector<std::string> out{job_record(job, index, tables_)};
+    if (fits(out[0])) return out;
+    out.clear();
+    auto body = json::serialize(job_body(job, index, tables_));
+    // Quoted once more it takes up to twice its length.
+    const size_t most = hard_limit_ / 2 - 60;
+    for (size_t at = 0; at < body.size();) {
+        size_t n = std::min(most, body.size() - at);
+        while (at + n < body.size() && (body[at + n] & 0xC0) == 0x80) --n;  // not within a character
+        out.push_back(
+            fmt::format("[\"p\",{},{},{}]", quoted(job.spec.id), out.size(), quoted(body.substr(at, n))));
+        at += n;
+    }
+    out.push_back(record_head(job, out.size()));
+    return out;
+}
+
 bool Ledger::waiting() const {
     return !new_jobs_.empty() || !cancels_.empty() || !finishes_.empty() || !tables_.changes.empty() ||
            retelling_ != 0 ||
@@ -120,7 +216,6 @@
 LedgerBatch Ledger::next(int ops) {
     LedgerBatch b;
     ops = std::min(ops, txn_ops_);
-    const size_t most_conditions = 4 * static_cast<size_t>(txn_ops_) - 8;
     b.through = tables_.recorded_through;
     b.first = first_;
     Staged s{{}, !open_.empty(), soft_limit_, hard_limit_, 0, ops, next_number_};
@@ -133,7 +228,6 @@
         s.bytes += key.size() + value.size() + 40;
         b.txn.changes.push_back({std::move(key), std::move(value), 0});
     };
-    auto room = [&] { return b.txn.conditions.size() + 2 < most_conditions; };
     condition(kLeaderKey, token_);
     // With every drop the head changes: a late copy can't bring a dropped segment back.
     condition(kLogKey, head_version_);
@@ -145,22 +239,13 @@
         b.entries.push_back({EntryKind::Cancel, index, {}});
         b.urgent = true;
     }
-    while (!new_jobs_.empty() && room()) {
-        auto index = new_jobs_.front();
-        auto& job = *tables_.jobs[index];
-        if (!s.put(job_record(job, tables_.names))) break;
-        new_jobs_.pop_front();
-        condition(final_key(job.spec.id), 0);
-        b.entries.push_back({EntryKind::NewJob, index, {}});
-        b.bases.emplace_back(index, s.number());
-        b.urgent = true;
-    }
-    while (!finishes_.empty() && room() && s.ops >= 1) {
+    tell_new_jobs(s, b);
+    while (!finishes_.empty() && s.ops >= 1) {
         auto index = finishes_.front();
         auto& job = *tables_.jobs[index];
         // Its final state takes a change of its own, which the log must leave.
         --s.ops;
-        if (!s.put(short_entry("e", job.spec.id))) {
+        if (!s.put(end_entry(job, !tables_.dependencies().dependants(index).empty()))) {
             ++s.ops;
             break;
         }
@@ -195,6 +280,44 @@
     return b;
 }
 
+// A job whose record takes several entries lets those behind it go first: it takes a few transactions.
+void Ledger::tell_new_jobs(Staged& s, LedgerBatch& b) {
+    for (auto it = new_jobs_.begin(); it != new_jobs_.end();) {
+        // A condition for each change, for the leadership and for the head; the rest is for new jobs.
+        if (b.bases.size() + 2 >= 3 * static_cast<size_t>(txn_ops_)) return;
+        Index index = *it;
+        auto& job = *tables_.jobs[index];
+        auto found = telling_.find(index);
+        std::vector<std::string> fresh;
+        if (found == telling_.end()) fresh = record_entries(index);
+        if (fresh.size() > 1) found = telling_.emplace(index, Telling{std::move(fresh)}).first;
+        uint64_t base = 0;
+        if (found == telling_.end()) {
+            if (!s.put(fresh[0])) return;
+            base = s.number();
+        } else {
+            auto& [entries, told, first] = found->second;
+            size_t n = told, until = s.bytes + kRetoldAtOnce;
+            base = first;
+            while (n + 1 < entries.size() && s.bytes < until && s.put(entries[n])) {
+                if (n++ == 0) base = s.number();
+            }
+            if (n > told) b.told.push_back({index, n, base});
+            // Its last entry says what may have changed since the first.
+            if (n + 1 < entries.size() || !s.put(record_head(job, n))) {
+                ++it;
+                continue;
+            }
+        }
+        it = new_jobs_.erase(it);
+        b.txn.conditions.push_back({final_key(job.spec.id), 0});
+        s.bytes += job.spec.id.size() + 42;
+        b.entries.push_back({EntryKind::NewJob, index, {}, job.cancel_recorded});
+        b.bases.emplace_back(index, base);
+        b.urgent = true;
+    }
+}
+
 // Changes of tasks, in order, as far as they fit; of several to one task only the newest.
 void Ledger::tell_tasks(Staged& s, LedgerBatch& b) {
     auto& queue = tables_.changes;
@@ -243,10 +366,32 @@
         }
         if (std::any_of(b.bases.begin(), b.bases.end(), [&](auto& x) { return x.first == j; })) continue;
         if (cursor_job_ == kNone) {
-            if (!s.put(job_record(*job, tables_.names))) return;
+            auto entries = record_entries(j);
+            if (entries.size() > 1 && !pipelines_used()) {
+                // Of a version that wrote longer values, and told in pieces it could not be read by that
+                // version: its segment stays. Nothing else has to wait for that.
+                retelling_ = 0;
+                retell_above_ = 2 * segments_.size();
+                return;
+            }
+            cursor_record_.assign(entries.begin(), entries.end());
             cursor_job_ = j;
             cursor_task_ = 0;
-            cursor_base_ = s.number();
+            cursor_base_ = 0;
+        }
+        while (!cursor_record_.empty()) {
+            // The last of several says what may have changed since the first.
+            bool last_of_several = cursor_record_.size() == 1 && cursor_base_ != 0;
+            if (last_of_several) cursor_record_.front() = record_head(*job, cursor_pieces_);
+            if ((cursor_base_ != 0 && s.bytes >= until) || !s.put(cursor_record_.front())) {
+                if (cursor_base_ == 0) cursor_job_ = kNone;  // nothing of it is told yet
+                return;
+            }
+            if (cursor_base_ == 0) {
+                cursor_base_ = s.number();
+                cursor_pieces_ = cursor_record_.size() - 1;
+            }
+            cursor_record_.pop_front();
         }
         auto end = static_cast<uint32_t>(job->tasks.size());
         while (cursor_task_ < end && s.bytes < until) {
@@ -273,6 +418,8 @@
     if (retelling_ == 0 || ops < 2) return;
     for (auto& job : tables_.jobs)
         if (job && job->version != 0 && job->base <= retelling_) return;
+    for (auto& [j, t] : telling_)
+        if (t.told > 0 && t.base <= retelling_) return;
     size_t most = static_cast<size_t>(ops) - 1;
     uint64_t first = first_;
     for (auto& segment : segments_) {
@@ -300,9 +447,16 @@
     }
     for (auto& [j, base] : batch.bases)
         if (tables_.jobs[j]) tables_.jobs[j]->base = base;
+    for (auto& [j, n, base] : batch.told)
+        if (auto it = telling_.find(j); it != telling_.end()) it->second.told = n, it->second.base = base;
     for (auto& e : batch.entries) {
-        if (e.kind == EntryKind::Cancel) tables_.jobs[e.job]->cancel_recorded = true;
-        if (e.kind == EntryKind::NewJob) tables_.jobs[e.job]->version = revision;
+        auto* job = e.job == kNone ? nullptr : tables_.jobs[e.job].get();
+        if (e.kind == EntryKind::Cancel) job->cancel_recorded = job->cancel_logged = true;
+        if (e.kind == EntryKind::NewJob) {
+            job->version = revision;
+            job->cancel_logged = e.cancelled;
+            telling_.erase(e.job);
+        }
         if (e.kind == EntryKind::Note) notes_[e.key].version = revision;
     }
     if (batch.first != first_) {
@@ -312,9 +466,12 @@
         if (segments_.empty() || segments_.front().number > retelling_) retelling_ = 0;
         if (segments_.empty()) open_.clear();
     }
-    // One segment at a time, the oldest, and never the open one.
-    if (retelling_ == 0 && segments_.size() > wanted_segments() + 1) {
-        retelling_ = segments_.front().number;
+    // The oldest, and never the open one. As many at once as one transaction can drop beside the new head:
+    // where values are short, a transaction for each took a third of all changes.
+    size_t at_once = std::clamp<size_t>(static_cast<size_t>(txn_ops_) - 1, 1, kDroppedAtOnce);
+    if (retelling_ == 0 && segments_.size() > std::max(retell_above_, wanted_segments() + at_once)) {
+        retelling_ = segments_[at_once - 1].number;
+        retell_above_ = 0;
         cursor_job_ = kNone;
     }
 }
@@ -327,11 +484,12 @@
         auto& e = *it;
         if (e.kind == EntryKind::Cancel) cancels_.push_front(e.job);
         if (e.kind == EntryKind::Finish) finishes_.push_front(e.job);
+        if (e.kind == EntryKind::NewJob) telling_.erase(e.job);
         if (e.kind != EntryKind::Note) continue;
         // A newer value may have come meanwhile.
-        if (auto& record = notes_[e.key].record; record.empty())
+        if (notes_[e.key].record.empty())
             for (auto& c : batch.txn.changes)
-                if (c.key == e.key) record = c.value;
+                if (c.key == e.key) note(e.key, c.value);
     }
 }
 
@@ -343,7 +501,12 @@
     segments_.clear();
     open_.clear();
     loading_.clear();
+    loading_pieces_.clear();
+    loading_ended_.clear();
+    telling_.clear();
+    pipelines_ = false;
     next_number_ = 1;
+    retell_above_ = 0;
     head_version_ = first_ = retelling_ = 0;
     cursor_job_ = kNone;
 }
@@ -376,36 +539,50 @@
     std::string_view tag = entry[0].get_string();
     if (tag == "j") {
         auto& o = read::object(entry[1]);
+        if (read::field(o, "pieces")) {
+            pipelines_ = true;
+            auto found = loading_pieces_.find(read::text(o, "id"));
+            // Its first pieces stood in a segment that is gone by now: it has ended, or is told anew.
+            if (found == loading_pieces_.end() || found->second.next != read::count(o, "pieces")) return;
+            auto pieces = std::move(found->second);
+            loading_pieces_.erase(found);
+            return load_job(o, read::parse(pieces.body), pieces.base, now);
+        }
         auto* body = read::field(o, "job");
         if (!body) read::bad("job");
-        auto spec = parse_submission(*body, tables_.names);
-        if (spec.team == kNone) read::bad("job.team");
-        bool cancelled = read::flag(o, "cancelled", false);
-        auto it = tables_.job_index.find(spec.id);
-        // Told anew: what came before stands, and what follows repeats it.
-        auto index = it != tables_.job_index.end()
-                         ? it->second
-                         : tables_.add_job(std::move(spec), read::number(o, "at", {}, 1e12), now);
-        auto& job = *tables_.jobs[index];
-        if (job.version == 0) {
-            job.version = 1;
-            job.base = next_number_;
-        }
-        if (cancelled) job.cancelled = job.cancel_recorded = true;
-        return;
+        return load_job(o, *body, next_number_, now);
     }
     if (!entry[1].is_string()) read::bad("entry");
-    auto it = tables_.job_index.find(std::string(entry[1].get_string()));
+    std::string id(entry[1].get_string());
+    if (tag == "p") {
+        if (entry.size() < 4 || !entry[3].is_string()) read::bad("piece");
+        boost::system::error_code bad;
+        auto n = entry[2].to_number<uint64_t>(bad);
+        if (bad) read::bad("piece");
+        pipelines_ = true;
+        if (n == 0) loading_pieces_[id] = {"", 0, next_number_};
+        auto found = loading_pieces_.find(id);
+        if (found == loading_pieces_.end() || found->second.next != n) return;
+        found->second.body += entry[3].get_string();
+        ++found->second.next;
+        return;
+    }
+    if (tag == "e" && entry.size() > 2) {
+        if (!entry[2].is_number()) read::bad("when");
+        pipelines_ = true;
+        loading_ended_[id] = entry[2].to_number<double>();
+    }
+    auto it = tables_.job_index.find(id);
     // A job of which an earlier segment told that is gone by now: it has ended, or is told anew further on.
     if (it == tables_.job_index.end()) return;
     Index index = it->second;
     auto& job = *tables_.jobs[index];
     if (tag == "c") {
-        job.cancelled = job.cancel_recorded = true;
+        job.cancelled = job.cancel_recorded = job.cancel_logged = true;
     } else if (tag == "e") {
         loading_.erase(index);
         for (auto& task : job.tasks) task.state = TaskState::Pending;  // none is on a machine yet
-        tables_.remove_job(index);
+        tables_.remove_job(index, now);
     } else if (tag == "t") {
         auto& names = loading_[index];
         names.resize(job.tasks.size());
@@ -446,11 +623,63 @@
     }
 }
 
+void Ledger::load_job(const json::object& record, const json::value& body, uint64_t base, double now) {
+    auto spec = parse_submission(body, tables_.names);
+    if (spec.team == kNone) read::bad("job.team");
+    bool cancelled = read::flag(record, "cancelled", false);
+    double ready = read::number(record, "ready", 0, 1e12);
+    pipelines_ = pipelines_ || ready > 0 || !spec.dependencies.empty();
+    auto it = tables_.job_index.find(spec.id);
+    // Told anew: what came before stands, and what follows repeats it. Only what it waits for may have
+    // become less.
+    if (it != tables_.job_index.end())
+        tables_.jobs[it->second]->spec.dependencies = std::move(spec.dependencies);
+    auto index = it != tables_.job_index.end()
+                     ? it->second
+                     : tables_.add_job(std::move(spec), read::number(record, "at", {}, 1e12), now);
+    auto& job = *tables_.jobs[index];
+    if (job.version == 0) {
+        job.version = 1;
+        job.base = base;
+    }
+    job.ready = std::max(job.ready, ready);
+    if (cancelled) job.cancelled = job.cancel_recorded = job.cancel_logged = true;
+}
+
+// A dependency that is not alive once the whole log is read has ended as done: its dependants were accepted
+// after it, and a cancelled job leaves the log only after the cancellations of all that wait for it.
+void Ledger::load_dependencies(double now) {
+    for (Index j = 0; j < tables_.jobs.size(); ++j) {
+        auto* job = tables_.jobs[j].get();
+        if (!job || !job->waits) continue;
+        std::vector<Index> alive;
+        for (auto& id : job->spec.dependencies) {
+            if (auto it = tables_.job_index.find(id); it != tables_.job_index.end())
+                alive.push_back(it->second);
+            else if (auto ended = loading_ended_.find(id); ended != loading_ended_.end())
+                job->ready = std::max(job->ready, ended->second);
+        }
+        if (job->cancelled) alive.clear();
+        tables_.set_dependencies(j, alive, now);
+    }
+    // One recorded cancellation is that of all who need the job.
+    for (Index j = 0; j < tables_.jobs.size(); ++j)
+        if (tables_.jobs[j] && tables_.jobs[j]->cancel_logged)
+            for (auto d : tables_.dependencies().all_dependants(j)) {
+                auto& job = *tables_.jobs[d];
+                if (!job.cancelled) cancels_.push_back(d);
+                job.cancelled = job.cancel_recorded = true;
+            }
+}
+
 void Ledger::loaded(double now) {
+    load_dependencies(now);
+    loading_pieces_.clear();
+    loading_ended_.clear();
     for (Index j = 0; j < tables_.jobs.size(); ++j)
         if (tables_.jobs[j]) tables_.restore_counts(j);
     for (auto& job : tables_.jobs)
-        if (job) tables_.mark_guaranteed(*job);
+        if (job && !job->waits) tables_.mark_guaranteed(*job);
     for (auto& [j, names] : loading_)
         for (uint32_t t = 0; t < names.size(); ++t) {
             if (names[t].empty()) continue;
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -3,7 +3,8 @@
 // One change to the state service carries all events since the last: new jobs, placements, outcomes, ends.
 // The newest segment is rewritten until it is full. The oldest is dropped once whatever it told of jobs that
 // still run has been told anew further on. Keys: `w/<number>` a segment, `log` its first number, `f/<id>` the
-// final state of a job. docs/design.md has the argument why late or repeated copies of a write do nothing.
+// final state of a job. docs/design.md has the argument why late or repeated copies of a write do nothing,
+// and why a leader that reads the log knows which jobs still wait for others.
 #pragma once
 #include <deque>
 #include <map>
@@ -26,7 +27,7 @@
 std::string segment_key(uint64_t number);  // in the order of numbers
 std::string final_key(const std::string& id);
 
-std::string job_record(const Job& job, const Names& names);
+std::string job_record(const Job& job, Index index, const Tables& tables);
 std::string final_record(JobState state, uint32_t done);
 struct FinalState {
     JobState state = JobState::Done;
@@ -43,7 +44,8 @@
 struct LedgerEntry {
     EntryKind kind = EntryKind::Note;
     Index job = kNone;
-    std::string key;  // Note
+    std::string key;         // Note
+    bool cancelled = false;  // NewJob: recorded as cancelled
 };
 struct LedgerBatch {
     StateTxn txn;
@@ -56,7 +58,13 @@
     };
     std::vector<Written> segments;                  // the last one stays open
     std::vector<std::pair<Index, uint64_t>> bases;  // jobs told anew, from which segment on
-    uint64_t first = 0;                             // the log's first segment after this
+    struct Told {
+        Index job;
+        size_t pieces;
+        uint64_t base;
+    };
+    std::vector<Told> told;  // new jobs of whose records so many pieces are recorded with it
+    uint64_t first = 0;      // the log's first segment after this
     bool empty() const { return txn.changes.empty(); }
     bool urgent = false;  // a user waits for it
 };
@@ -68,13 +76,16 @@
     void new_job(Index job) { new_jobs_.push_back(job); }
     void cancel(Index job) { cancels_.push_back(job); }
     void finish(Index job) { finishes_.push_back(job); }
-    void note(const std::string& key, std::string record) { notes_[key].record = std::move(record); }
+    void note(const std::string& key, std::string record);
     void load_note(const std::string& key, uint64_t version) { notes_[key].version = version; }
     bool urgent() const { return !new_jobs_.empty() || !cancels_.empty(); }
     bool waiting() const;
     size_t submissions() const { return new_jobs_.size(); }
-    // The longest entry that a segment can hold.
-    size_t max_entry() const { return hard_limit_ - 8; }
+    // Whether the job can be recorded at all. What it waits for does not count: that may be told in pieces.
+    bool can_hold(Index job) const;
+    // The state service does not take a transaction of this size: the next ones are smaller. False: they are
+    // as small as they get.
+    bool shrink();
 
     // The next transaction of at most `ops` changes; every one is conditional on the leadership.
     LedgerBatch next(int ops);
@@ -95,17 +106,26 @@
         uint64_t number, version;
     };
     struct Staged;
+    void set_limits(int txn_ops, size_t value_bytes);
+    bool fits(const std::string& record) const { return record.size() + 8 <= hard_limit_; }
+    bool pipelines_used() const { return pipelines_ || tables_.dependencies().waiting() > 0; }
+    std::vector<std::string> record_entries(Index job) const;
+    void tell_new_jobs(Staged& s, LedgerBatch& b);
     void retell(Staged& s, LedgerBatch& b);
     void drop(LedgerBatch& b, int ops);
     void tell_tasks(Staged& s, LedgerBatch& b);
     size_t wanted_segments() const;
     void load_entry(const boost::json::array& entry, double now);
+    void load_job(const boost::json::object& record, const boost::json::value& body, uint64_t base,
+                  double now);
+    void load_dependencies(double now);
 
     Tables& tables_;
     uint64_t token_;
     int txn_ops_;
     size_t soft_limit_, hard_limit_;  // bytes of a segment: when it is full, and at the most
     size_t entry_limit_;              // bytes of one entry's rows, about
+    bool pipelines_ = false;          // the log holds what versions without pipelines can't read
     std::deque<Index> new_jobs_, cancels_, finishes_;
     struct Note {
         std::string record;  // empty: nothing to write
@@ -120,8 +140,26 @@
     uint64_t retelling_ = 0;  // segments up to this one are to be dropped; 0: none
     Index cursor_job_ = kNone;
     uint32_t cursor_task_ = 0;
-    uint64_t cursor_base_ = 0;
-    std::map<Index, std::vector<std::string>> loading_;  // machine names by task, while loading
+    uint64_t cursor_base_ = 0;  // 0: nothing of the job is told yet
+    size_t cursor_pieces_ = 0;
+    std::deque<std::string> cursor_record_;  // the entries of its record that are still to be told
+    size_t retell_above_ = 0;                // not before the log has more segments than this
+    // New jobs whose records take several entries, as they stood when the first was told.
+    struct Telling {
+        std::vector<std::string> entries;
+        size_t told = 0;    // are recorded
+        uint64_t base = 0;  // from this segment on
+    };
+    std::map<Index, Telling> telling_;
+    // While loading: machine names by task; pieces of records, and in which segment the first is; when jobs
+    // that others waited for ended.
+    std::map<Index, std::vector<std::string>> loading_;
+    struct LoadedPieces {
+        std::string body;
+        uint64_t next = 0, base = 0;
+    };
+    std::map<std::string, LoadedPieces> loading_pieces_;
+    std::map<std::string, double> loading_ended_;
 };
 
 }  // namespace weirmill
--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -10,7 +10,7 @@
     1000;  // names of classes are the users' own: further ones are not learnt from
 }  // namespace
 
-Tables::Tables(const Settings& settings) {
+Tables::Tables(const Settings& settings) : report_s_(settings.report_s) {
     for (auto& t : settings.teams) {
         names.teams.intern(t.name);
         Team team;
@@ -39,15 +39,12 @@
     job->pending = spec.tasks;
     job->submitted = submitted;
     job->seen_at = now;
+    job->priority = spec.priority;
+    job->waits = !spec.dependencies.empty();
     job->spec = std::move(spec);
     task_count += job->tasks.size();
-    if (job->spec.job_class < kMostClasses) {
-        if (classes.size() <= job->spec.job_class) classes.resize(job->spec.job_class + 1);
-        auto& c = classes[job->spec.job_class];
-        c.arrivals.emplace_back(now, job->spec.tasks);
-        if (c.arrivals.size() > kMostArrivals) c.arrivals.pop_front();
-        c.last = job->spec;
-    }
+    if (job->spec.job_class < kMostClasses && classes.size() <= job->spec.job_class)
+        classes.resize(job->spec.job_class + 1);
     if (auto& need = job->spec.need; need.gpu >= 1000) {
         Resources share{need.cpu * 1000 / need.gpu, 1000, need.mem * 1000 / need.gpu};
         if (per_gpu.gpu == 0) per_gpu = share;
@@ -58,30 +55,111 @@
     auto index = static_cast<Index>(free - jobs.begin());
     job_index[job->spec.id] = index;
     *free = std::move(job);
-    mark_guaranteed(*jobs[index]);
+    if (!jobs[index]->waits) came(*jobs[index], now);
     return index;
 }
 
+// The job may be placed from now on.
+void Tables::came(Job& job, double now) {
+    mark_guaranteed(job);
+    if (job.spec.job_class >= classes.size()) return;
+    auto& c = classes[job.spec.job_class];
+    c.arrivals.emplace_back(now, job.spec.tasks);
+    if (c.arrivals.size() > kMostArrivals) c.arrivals.pop_front();
+    c.last = job.spec;
+}
+
 void Tables::mark_guaranteed(Job& job) const {
     if (job.spec.team >= teams.size()) return;
     Resources sum = job.spec.need * job.spec.tasks;
     for (auto& other : jobs)
-        if (other && other.get() != &job && other->spec.team == job.spec.team &&
-            other->submitted <= job.submitted)
+        if (other && other.get() != &job && other->spec.team == job.spec.team && !other->waits &&
+            other->came() <= job.came())
             sum += other->spec.need * (other->spec.tasks - other->done);
     auto& owed = teams[job.spec.team].guarantee;
     job.guaranteed = sum.cpu <= owed.cpu && sum.gpu <= owed.gpu;
 }
 
-void Tables::remove_job(Index index) {
+void Tables::set_dependencies(Index index, const std::vector<Index>& on, double now) {
+    auto& job = *jobs[index];
+    std::vector<std::string>().swap(job.spec.dependencies);
+    dependencies_.add(index, on);
+    job.waits = !on.empty();
+    job.waits ? spread_needs_from(index) : came(job, now);
+}
+
+void Tables::remove_job(Index index, double now) {
     auto& job = *jobs[index];
     for (uint32_t t = 0; t < job.tasks.size(); ++t)
-        if (job.tasks[t].state == TaskState::Placed) leave_machine(index, t, 0);
+        if (job.tasks[t].state == TaskState::Placed) leave_machine(index, t, now);
     for (auto& m : machines)
         if (m && m->reserved_for == index) m->reserved_for = kNone;
     task_count -= job.tasks.size();
+    auto on = dependencies_.of(index), dependants = dependencies_.dependants(index);
+    bool cancelled = job.cancelled;
+    double ended = job.ended;
+    dependencies_.remove(index);
     job_index.erase(job.spec.id);
     jobs[index].reset();
+    for (auto d : dependants) {
+        auto& dependant = *jobs[d];
+        dependant.waits = !dependencies_.ready(d);
+        if (cancelled) continue;  // and so are they
+        dependant.ready = std::max(dependant.ready, ended);
+        if (dependant.waits) continue;
+        dependant.ready_at = now;
+        take_needs(d);  // what is known of run times may have changed since
+        came(dependant, now);
+    }
+    for (auto d : on) spread_needs_from(d);
+}
+
+// By when a job should end, and what priority it has, for those that need it. Whether that changed.
+bool Tables::take_needs(Index index) {
+    auto& job = *jobs[index];
+    auto priority = job.spec.priority;
+    double by = 1e18;
+    for (auto d : dependencies_.dependants(index)) {
+        auto& dependant = *jobs[d];
+        if (dependant.cancelled) continue;
+        priority = std::max(priority, dependant.priority);
+        double theirs = dependant.needed_by;
+        if (dependant.spec.deadline_s >= 0)
+            theirs = std::min(theirs, dependant.seen_at + dependant.spec.deadline_s);
+        if (theirs < 1e17) by = std::min(by, theirs - stage_s(dependant.spec));
+    }
+    bool changed = priority != job.priority || by != job.needed_by;
+    job.priority = priority;
+    job.needed_by = by;
+    return changed;
+}
+
+// From a job up to all that it needs, as far as anything changes there. First come, first served, each once
+// in the queue: taken depth first, a tower of diamonds would be walked once for each path through it.
+void Tables::spread_needs_from(Index index) {
+    std::deque<Index> left{index};
+    std::set<Index> queued{index};
+    while (!left.empty()) {
+        auto j = left.front();
+        left.pop_front();
+        queued.erase(j);
+        if (!take_needs(j) && j != index) continue;
+        for (auto d : dependencies_.of(j))
+            if (queued.insert(d).second) left.push_back(d);
+    }
+}
+
+void Tables::spread_needs() {
+    for (Index j = 0; j < jobs.size(); ++j)
+        if (jobs[j] && !dependencies_.of(j).empty()) spread_needs_from(j);
+}
+
+// A stage of a pipeline: its start waits for a report and for its image, then its tasks run.
+double Tables::stage_s(const JobSpec& spec) const {
+    double fetch = 1e18;
+    for (Index t = 0; t < types.size(); ++t)
+        if (type_fits(spec, t)) fetch = std::min(fetch, fetch_s(spec, t));
+    return expected_run_s(spec) + report_s_ + (fetch < 1e17 ? fetch : 0);
 }
 
 void Tables::clear_work() {
@@ -89,6 +167,7 @@
     machines.clear();
     job_index.clear();
     machine_index.clear();
+    dependencies_.clear();
     changes.clear();
     last_change = recorded_through = 0;
     task_count = 0;
@@ -231,20 +310,20 @@
 double Tables::due(const Job& job, double earliest, int& missed) const {
     missed = 0;
     double due = 1e18;
-    auto consider = [&](double within) {
-        double at = job.seen_at + within;
+    auto consider = [&](double at) {
         if (at < earliest)
             ++missed;
         else
             due = std::min(due, at);
     };
-    if (job.spec.deadline_s >= 0) consider(job.spec.deadline_s);
+    if (job.spec.deadline_s >= 0) consider(job.seen_at + job.spec.deadline_s);
+    if (job.needed_by < 1e17) consider(job.needed_by);
     if (job.spec.job_class < classes.size()) {
         auto& c = classes[job.spec.job_class];
-        for (double within : c.done_within_s) consider(within);
+        for (double within : c.done_within_s) consider(job.came_at() + within);
         // A job that may still start in time ends its run after that.
         if (c.start_within_s > 0 && job.placed + job.done == 0)
-            consider(c.start_within_s + expected_run_s(job.spec));
+            consider(job.came_at() + c.start_within_s + expected_run_s(job.spec));
     }
     return due;
 }
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "bookkeeping/dependencies.h"
 #include "protocol/types.h"
 #include "settings/settings.h"
 
@@ -35,10 +36,19 @@
     JobSpec spec;
     double submitted = 0;  // time of day, seconds
     double seen_at = 0;    // when it was submitted, by the steady clock of this leader
+    // Only of a job that had to wait: when the last of its dependencies ended, by the time of day, and by the
+    // steady clock. All but its deadline counts from there. `ended` is its own end, told to its dependants.
+    double ready = 0, ready_at = 0, ended = 0;
+    bool waits = false;  // for a dependency; kept by the tables
+    // The highest priority of itself and of those that need it, and by when it should end for those to end in
+    // time; kept by the tables.
+    Priority priority = Priority::Low;
+    double needed_by = 1e18;
     uint64_t version = 0;  // the revision that recorded it, 0: not recorded yet
     uint64_t base = 0;     // the segment of the log from which on it is told in full
     bool cancelled = false;
-    bool cancel_recorded = false;  // and so may be told
+    bool cancel_recorded = false;  // or implied by the record of a job that it needs: it may be told
+    bool cancel_logged = false;    // by an entry of its own: those that it needs may leave the log
     bool ending = false;           // its end is queued to be recorded
     std::vector<Task> tasks;
     uint32_t pending = 0, placed = 0, done = 0, running = 0;
@@ -52,6 +62,8 @@
     // for other teams.
     bool guaranteed = false;
     bool active() const { return version != 0 && !cancelled && !ending; }
+    double came() const { return ready > 0 ? ready : submitted; }
+    double came_at() const { return ready > 0 ? ready_at : seen_at; }
 };
 
 struct TaskRef {
@@ -151,7 +163,13 @@
     size_t task_count = 0, max_tasks;                  // over all jobs; what memory allows
 
     Index add_job(JobSpec spec, double submitted, double now);
-    void remove_job(Index job);
+    // Where the job is done, its dependants no longer wait for it.
+    void remove_job(Index job, double now);
+    // Of the dependencies that it was added with, those that are in the tables; the others have ended.
+    void set_dependencies(Index job, const std::vector<Index>& on, double now);
+    const Dependencies& dependencies() const { return dependencies_; }
+    // What dependants ask of all jobs, once a fresh leader knows the times of all.
+    void spread_needs();
     void mark_guaranteed(Job& job) const;
     void clear_work();  // jobs and machines, not what is offered
     Job* find_job(const std::string& id);
@@ -205,6 +223,13 @@
     bool refused(Index type, Index zone, bool spot, double now) const;
 
   private:
+    void came(Job& job, double now);
+    bool take_needs(Index job);
+    void spread_needs_from(Index job);
+    double stage_s(const JobSpec& spec) const;
+    Dependencies dependencies_;
+    double report_s_;
+
     void touch(Index job, uint32_t task);
     void leave_machine(Index job, uint32_t task, double now);
 };
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -73,6 +73,7 @@
         placed += job->placed;
         pending += job->pending;
     }
+    out["jobs_waiting"] = static_cast<double>(tables_.dependencies().waiting());
     out["jobs"] = static_cast<double>(tables_.job_index.size());
     out["machines"] = static_cast<double>(tables_.machine_index.size());
     out["machines_up"] = static_cast<double>(up);
@@ -107,9 +108,12 @@
                  tables_.machine_index.size());
     for (Index j = 0; j < tables_.jobs.size(); ++j) {
         if (!tables_.jobs[j]) continue;
-        tables_.jobs[j]->seen_at = now_ - std::max(0.0, wall_now() - tables_.jobs[j]->submitted);
+        auto& job = *tables_.jobs[j];
+        job.seen_at = now_ - std::max(0.0, wall_now() - job.submitted);
+        job.ready_at = now_ - std::max(0.0, wall_now() - job.ready);
         check_job(j);
     }
+    tables_.spread_needs();
     asio::co_spawn(io_, tick_loop(self), asio::detached);
     asio::co_spawn(io_, list_loop(self), asio::detached);
     while (!stopped_) {
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -59,6 +59,13 @@
         StateResult<uint64_t> result;
     };
     struct TxnUnsure {};
+    struct DependenciesRead {  // final states of jobs that a submission names
+        PeerCall call;
+        Reply reply;
+        std::vector<std::pair<std::string, FinalState>> ended;
+        std::string missing;  // was never accepted, as the state service has it
+        bool all = false;     // nothing is left to be read
+    };
     struct TypesRead {
         std::vector<MachineType> types;
     };
@@ -75,8 +82,8 @@
         bool done = false;
     };
     struct Tick {};
-    using Message = std::variant<Tick, Asked, FinalRead, TxnDone, TxnUnsure, TypesRead, ListRead, Rented,
-                                 RentPassDone, Returned>;
+    using Message = std::variant<Tick, Asked, FinalRead, DependenciesRead, TxnDone, TxnUnsure, TypesRead,
+                                 ListRead, Rented, RentPassDone, Returned>;
     using Mailbox = boost::asio::experimental::channel<void(boost::system::error_code, Message)>;
 
     struct Held {  // a worker's report that waits for records before it is answered
@@ -90,8 +97,15 @@
     boost::asio::awaitable<bool> load();
     boost::asio::awaitable<void> tick_loop(std::shared_ptr<Leader> self);
     boost::asio::awaitable<void> commit(std::shared_ptr<Leader> self, LedgerBatch batch);
+    struct Applied {
+        bool known = false, yes = false;
+        uint64_t version = 0;
+    };
+    boost::asio::awaitable<Applied> was_applied(const StateTxn& txn);
     boost::asio::awaitable<void> read_final(std::shared_ptr<Leader> self, PeerCall call, Reply reply,
                                             int refusal);
+    boost::asio::awaitable<void> read_dependencies(std::shared_ptr<Leader> self, PeerCall call, Reply reply,
+                                                   std::vector<std::string> ids);
     boost::asio::awaitable<void> types_loop(std::shared_ptr<Leader> self);
     boost::asio::awaitable<void> list_loop(std::shared_ptr<Leader> self);
     boost::asio::awaitable<void> rent(std::shared_ptr<Leader> self, std::vector<Rental> rentals);
@@ -103,6 +117,7 @@
     void post(Message m);
     void handle(Asked& m);
     void handle(FinalRead& m);
+    void handle(DependenciesRead& m);
     void handle(TxnDone& m);
     void handle(TxnUnsure&);
     void handle(TypesRead& m);
@@ -113,6 +128,17 @@
     void handle(Tick&);
 
     void submit(PeerCall& call, Reply& reply);
+    // What a new job waits for, as far as this leader knows; nothing: it is answered, now or later.
+    struct Dependence {
+        std::vector<Index> on;
+        bool cancelled = false;  // one of them is: and so is the job
+    };
+    std::optional<Dependence> dependence(PeerCall& call, Reply& reply, const JobSpec& spec);
+    void refuse_for_good(PeerCall& call, Reply& reply, const std::string& id);
+    void cancel_dependants(Index job);
+    bool dependants_logged(Index job) const;
+    void check_dependencies(Index job);
+    void drop_new_job(Index job);
     void status(PeerCall& call, Reply& reply);
     void cancel(PeerCall& call, Reply& reply);
     void report(PeerCall& call, Reply& reply);
--- a/src/coordination/leader_records.cpp
+++ b/src/coordination/leader_records.cpp
@@ -33,37 +33,46 @@
     asio::co_spawn(io_, commit(shared_from_this(), std::move(batch)), asio::detached);
 }
 
+// Whether a transaction without an answer was applied. Its keys say so: nobody else may write them.
+asio::awaitable<Leader::Applied> Leader::was_applied(const StateTxn& txn) {
+    auto write =
+        std::find_if(txn.changes.begin(), txn.changes.end(), [](auto& c) { return !c.value.empty(); });
+    if (write == txn.changes.end()) co_return Applied{true, true, 0};  // deletions only, and they are done
+    auto item = co_await state_.get(write->key, 1.0);
+    if (!item) co_return Applied{item.outcome == StateOutcome::Missing, false, 0};
+    uint64_t expected = 0;
+    for (auto& c : txn.conditions)
+        if (c.key == write->key) expected = c.version;
+    bool ours = item.value.version != expected && item.value.value == read::parse(write->value);
+    co_return Applied{true, ours, item.value.version};
+}
+
 // One transaction at a time, until its outcome is known.
 asio::awaitable<void> Leader::commit(std::shared_ptr<Leader> self, LedgerBatch batch) {
     bool unsure = false;
     for (double pause = 0.1; !stopped_; pause = std::min(1.0, pause * 1.7)) {
         auto result = co_await state_.txn(batch.txn, 1.0);
         if (stopped_) co_return;
-        if (result.outcome == StateOutcome::Conflict && unsure) {
-            bool deposed = names_leader(result.failed);
-            // The copy without an answer may have been applied: then its keys say so. Nobody else may write
-            // them.
-            auto write = std::find_if(batch.txn.changes.begin(), batch.txn.changes.end(),
-                                      [](auto& c) { return !c.value.empty(); });
-            if (!deposed && write != batch.txn.changes.end()) {
-                auto item = co_await state_.get(write->key, 1.0);
-                if (stopped_) co_return;
-                if (!item && item.outcome != StateOutcome::Missing) {
-                    co_await sleep_s(pause);
-                    continue;
-                }
-                if (item) {
-                    uint64_t expected = 0;
-                    for (auto& c : batch.txn.conditions)
-                        if (c.key == write->key) expected = c.version;
-                    if (item.value.version != expected && item.value.value == read::parse(write->value)) {
-                        result.outcome = StateOutcome::Ok;
-                        result.value = item.value.version;
-                        result.failed.clear();
-                    }
-                }
-            } else if (!deposed) {
-                result.outcome = StateOutcome::Ok;  // deletions only, and they are done
+        bool refused_late = unsure && result.outcome == StateOutcome::Invalid;
+        if (refused_late ||
+            (unsure && result.outcome == StateOutcome::Conflict && !names_leader(result.failed))) {
+            auto applied = co_await was_applied(batch.txn);
+            if (stopped_) co_return;
+            if (!applied.known) {
+                co_await sleep_s(pause);
+                continue;
+            }
+            if (applied.yes) {
+                result.outcome = StateOutcome::Ok;
+                result.value = applied.version;
+                result.failed.clear();
+            } else if (refused_late) {
+                // The limits fell between two copies: this one was not executed, but the earlier one may
+                // still be. Taken for not executed, its entries were told again by another transaction, and
+                // it would have put older ones behind them. A later leader's token makes it void.
+                spdlog::error("state: no answer, then refused as malformed: starting over");
+                tenure_->ended = true;
+                co_return;
             }
         }
         if (result.outcome == StateOutcome::Unknown || (unsure && result.outcome == StateOutcome::Refused)) {
@@ -78,6 +87,13 @@
     (void)self;
 }
 
+// A submission that is not accepted after all.
+void Leader::drop_new_job(Index j) {
+    auto on = tables_.dependencies().of(j);
+    tables_.remove_job(j, now_);
+    for (auto d : on) check_job(d);  // one of them may have waited for this one's cancellation
+}
+
 // Users are not kept waiting for an outcome that may take long.
 void Leader::handle(TxnUnsure&) {
     state_failed_at_ = now_;
@@ -97,17 +113,27 @@
                 auto& job = *tables_.jobs[e.job];
                 answer_waiters(job.spec.id, job_reply(job, PeerOp::Submit, 201));
                 dirty_ = true;
+                if (job.cancelled) {
+                    check_job(e.job);
+                    check_dependencies(e.job);
+                }
             } else if (e.kind == EntryKind::Cancel) {
                 auto& job = *tables_.jobs[e.job];
+                // Before its user is told: from then on they are cancelled too.
+                cancel_dependants(e.job);
                 answer_waiters(job.spec.id, job_reply(job, PeerOp::Cancel, 200));
                 check_job(e.job);
+                check_dependencies(e.job);
             } else if (e.kind == EntryKind::Finish) {
                 auto& job = *tables_.jobs[e.job];
                 FinalState f{job.cancelled ? JobState::Cancelled : JobState::Done, job.done};
                 auto id = job.spec.id;
                 remember_final(id, f);
                 answer_waiters(id, final_reply(id, f, PeerOp::Cancel));
-                tables_.remove_job(e.job);
+                auto on = tables_.dependencies().of(e.job);
+                if (!tables_.dependencies().dependants(e.job).empty()) dirty_ = true;
+                tables_.remove_job(e.job, now_);
+                for (auto d : on) check_job(d);
                 spdlog::debug("job: {} {}", id, f.state == JobState::Done ? "done" : "cancelled");
             }
         }
@@ -135,7 +161,7 @@
             ++explained;
             auto waiting = std::move(waiters_[id]);
             waiters_.erase(id);
-            tables_.remove_job(e.job);
+            drop_new_job(e.job);
             for (auto& [op, reply] : waiting)
                 asio::co_spawn(io_, read_final(shared_from_this(), PeerCall{op, id, ""}, reply, 404),
                                asio::detached);
@@ -152,11 +178,15 @@
         for (auto& e : m.batch.entries) {
             if (e.kind == EntryKind::NewJob) {
                 answer_waiters(tables_.jobs[e.job]->spec.id, come_back());
-                tables_.remove_job(e.job);
+                drop_new_job(e.job);
             } else if (e.kind == EntryKind::Cancel) {
                 answer_waiters(tables_.jobs[e.job]->spec.id, come_back());
             }
         }
+        // Malformed, as it is well-formed: larger than the state service takes. The same text would be
+        // refused for ever, and with it all that waits to be recorded.
+        if (m.result.outcome == StateOutcome::Invalid && ledger_.shrink())
+            spdlog::error("state: a transaction was refused as malformed, the next ones are smaller");
         writes_.drain();
         flush_not_before_ = now_ + std::uniform_real_distribution<double>(0.2, 0.5)(random_);
     }
--- a/src/coordination/leader_users.cpp
+++ b/src/coordination/leader_users.cpp
@@ -13,6 +13,10 @@
 namespace {
 
 constexpr size_t kMaxFinals = 20000;  // final states kept in memory; the rest are read through
+// Final states read for one submission: a few at once, then at a share of the rate, for so long.
+constexpr size_t kReadAtOnce = 8;
+constexpr double kReadShare = 0.25;
+constexpr double kReadDependencies_s = 1.2;
 
 }  // namespace
 
@@ -109,25 +113,108 @@
             never = "more than the team's limit";
     }
     if (never) {
-        // It may have been accepted when more was on offer: its final state, if any, is the answer.
-        call.subject = spec.id;
-        asio::co_spawn(io_, read_final(shared_from_this(), std::move(call), reply, 422), asio::detached);
-        return;
+        return refuse_for_good(call, reply, spec.id);
     }
     // The service can't record it now: told at once.
     if (state_down() || ledger_.submissions() > 4 * settings_.state_write_rps) return reply.set(come_back());
     if (tables_.task_count + spec.tasks > tables_.max_tasks) return reply.set(come_back(10));
+    auto depends = dependence(call, reply, spec);
+    if (!depends) return;
     std::string id = spec.id;
+    if (depends->on.empty() || depends->cancelled) spec.dependencies.clear();
     auto index = tables_.add_job(std::move(spec), wall_now(), now_);
     auto& job = *tables_.jobs[index];
-    if (job_record(job, tables_.names).size() + 20 > ledger_.max_entry()) {  // and its cancellation
-        tables_.remove_job(index);
+    if (depends->cancelled)
+        job.cancelled = job.cancel_recorded = true;  // in its own record
+    else if (job.waits)
+        tables_.set_dependencies(index, depends->on, now_);
+    if (!ledger_.can_hold(index)) {
+        tables_.remove_job(index, now_);
         return reply.set({400, R"({"error":"the job's description is too long"})"});
     }
     waiters_[id].emplace_back(PeerOp::Submit, reply);
     ledger_.new_job(index);
 }
 
+std::optional<Leader::Dependence> Leader::dependence(PeerCall& call, Reply& reply, const JobSpec& spec) {
+    Dependence out;
+    std::vector<std::string> unread;
+    for (auto& id : spec.dependencies) {
+        // A name that no job can have was never accepted.
+        if (id == spec.id || !valid_job_id(id)) {
+            refuse_for_good(call, reply, spec.id);
+            return {};
+        }
+        if (auto it = tables_.job_index.find(id); it != tables_.job_index.end()) {
+            auto& job = *tables_.jobs[it->second];
+            if (job.version == 0) {  // whether it will be accepted is not known yet
+                reply.set(come_back());
+                return {};
+            }
+            // Where its cancellation is not recorded yet, the job follows it once it is.
+            if (job.cancel_recorded)
+                out.cancelled = true;
+            else
+                out.on.push_back(it->second);
+        } else if (auto f = finals_.find(id); f != finals_.end()) {
+            out.cancelled = out.cancelled || f->second.state == JobState::Cancelled;
+        } else {
+            unread.push_back(id);
+        }
+    }
+    if (unread.empty()) return out;
+    asio::co_spawn(io_, read_dependencies(shared_from_this(), std::move(call), reply, std::move(unread)),
+                   asio::detached);
+    return {};
+}
+
+// The job may have been accepted when more was on offer, and have ended: then its final state is the answer.
+void Leader::refuse_for_good(PeerCall& call, Reply& reply, const std::string& id) {
+    call.subject = id;
+    asio::co_spawn(io_, read_final(shared_from_this(), std::move(call), reply, 422), asio::detached);
+}
+
+// One after the other: a long list must not take the rate that renewals of the lease need. What was read is
+// remembered, so that a list too long for one call gets further with each repetition.
+asio::awaitable<void> Leader::read_dependencies(std::shared_ptr<Leader> self, PeerCall call, Reply reply,
+                                                std::vector<std::string> ids) {
+    DependenciesRead read{std::move(call), reply, {}, {}, true};
+    double until = steady_now() + kReadDependencies_s;
+    double pause = 1 / (kReadShare * settings_.state_rps);
+    for (auto& id : ids) {
+        if (read.ended.size() >= kReadAtOnce) co_await sleep_s(pause);
+        if (stopped_ || steady_now() > until) read.all = false;
+        if (!read.all) break;
+        auto result = co_await state_.get(final_key(id), 0.6);
+        if (result.outcome == StateOutcome::Missing) {
+            read.missing = id;
+            break;
+        }
+        read.all = static_cast<bool>(result);
+        if (!read.all) break;
+        try {
+            read.ended.emplace_back(id, parse_final(result.value.value));
+        } catch (const BadMessage& e) {
+            spdlog::error("leader: malformed record {}: {}", result.value.key, e.what());
+            read.all = false;
+        }
+    }
+    self->post(std::move(read));
+}
+
+void Leader::handle(DependenciesRead& m) {
+    for (auto& [id, f] : m.ended) remember_final(id, f);
+    if (!sure(now_)) return m.reply.set(come_back());
+    if (!m.missing.empty()) {
+        // What was read is as old as the read: the job may have come, or ended, meanwhile.
+        if (tables_.find_job(m.missing) || finals_.count(m.missing)) return m.reply.set(come_back());
+        auto id = parse_submission(m.call.body, tables_.names).id;
+        return refuse_for_good(m.call, m.reply, id);
+    }
+    if (!m.all) return m.reply.set(come_back());
+    submit(m.call, m.reply);
+}
+
 void Leader::status(PeerCall& call, Reply& reply) {
     if (!valid_job_id(call.subject)) return reply.set({404, "{}"});
     if (!sure(now_)) return reply.set(come_back());
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -43,13 +43,13 @@
     std::vector<Row> rows;
     for (Index j = 0; j < tables.jobs.size(); ++j) {
         auto* job = tables.jobs[j].get();
-        if (!job || !job->active() || job->pending == 0 || job->not_before > now) continue;
+        if (!job || !job->active() || job->waits || job->pending == 0 || job->not_before > now) continue;
         // A gang starts anew only after every task of its old attempt is gone.
         if (job->spec.kind == JobKind::Gang && (job->placed > 0 || job->gang_ending)) continue;
         // Among equals, those that can still be in time go first, and of them the one due soonest.
         int missed;
         double due = tables.due(*job, now + tables.expected_run_s(job->spec), missed);
-        Rank rank{!job->guaranteed, -static_cast<int>(job->spec.priority),
+        Rank rank{!job->guaranteed, -static_cast<int>(job->priority),
                   !tables.within_guarantee(tables.teams[job->spec.team], job->spec.need), -job->spec.need.gpu,
                   missed};
         rows.push_back({{rank, due, job->submitted, job->spec.id}, j});
@@ -142,7 +142,7 @@
             if (!job.spec.need.fits_in(m.room()) || !tables_.machine_allowed(job.spec, m)) continue;
             if (m.reserved(now_) && m.reserved_for != index) {
                 auto* owner = tables_.jobs[m.reserved_for].get();
-                if (owner && owner->spec.priority >= job.spec.priority) continue;
+                if (owner && owner->priority >= job.priority) continue;
             }
             out.push_back(i);
         }
@@ -279,7 +279,7 @@
             large[job->spec.team] += job->spec.need * job->placed;
     auto kept = [&](const Job& job) {
         auto& [above, share] = held[job.spec.team];
-        return job.spec.priority < above ? share : Resources{};
+        return job.priority < above ? share : Resources{};
     };
     for (auto& rank : ranks) {
         if (out.size() >= most) break;
@@ -307,7 +307,7 @@
             // Nor is a share of any use beyond what the machines there can hold: a team's small tasks once
             // waited for minutes beside idle machines, for a limit that its large jobs could not reach.
             if (!filled.fits_in(pass.capacity_for(job.spec))) continue;
-            above = job.spec.priority;
+            above = job.priority;
             share += more;
         }
     }
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -36,7 +36,9 @@
 }
 
 bool may_stop(const Tables& tables, const Job& victim, const Job& job) {
-    if (victim.spec.priority < job.spec.priority) return true;
+    // A job may count as high as any that needs it. A stop must be right whether or not one sees it so: the
+    // one that is stopped counts with what needs it, the one that asks with its own priority alone.
+    if (victim.priority < job.spec.priority) return true;
     // Work beyond its team's guarantee gives way to a team that is owed its own.
     auto& owed = tables.teams[job.spec.team];
     auto& taker = tables.teams[victim.spec.team];
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -127,7 +127,7 @@
     double slack = tables.due(job, now + fetch + run, missed) - (now + fetch + run);
     if (missed > 0) slack = 0;
     if (spec.job_class < tables.classes.size() && tables.classes[spec.job_class].start_within_s > 0)
-        slack = std::min(slack, job.seen_at + tables.classes[spec.job_class].start_within_s - now - fetch);
+        slack = std::min(slack, job.came_at() + tables.classes[spec.job_class].start_within_s - now - fetch);
     return slack > 1e17 ? run : std::max(0.0, slack);
 }
 
--- a/src/protocol/types.h
+++ b/src/protocol/types.h
@@ -89,6 +89,8 @@
     double image_gb = 0;
     double estimate_s = 0, checkpoint_s = 0, save_s = 0;
     double deadline_s = -1;  // < 0: none
+    // As the message named them; once the job is in the tables, its dependencies are kept by index.
+    std::vector<std::string> dependencies;
 };
 
 struct TaskReport {
--- a/src/protocol/user_codec.cpp
+++ b/src/protocol/user_codec.cpp
@@ -97,6 +97,16 @@
     s.checkpoint_s = read::number(o, "tally_s");
     s.save_s = read::number(o, "bank_s");
     s.deadline_s = read::field(o, "due_s") ? read::number(o, "due_s") : -1;
+    if (read::field(o, "awaits")) {
+        auto& list = read::array(o, "awaits");
+        s.dependencies.reserve(list.size());
+        for (auto& id : list) {
+            if (!id.is_string() || id.get_string().empty()) read::bad("awaits");
+            s.dependencies.emplace_back(id.get_string());
+        }
+        std::sort(s.dependencies.begin(), s.dependencies.end());
+        s.dependencies.erase(std::unique(s.dependencies.begin(), s.dependencies.end()), s.dependencies.end());
+    }
     // Interned only once the whole message is known to be sound.
     s.job_class = names.classes.intern(job_class);
     s.team = names.teams.find(team);
@@ -134,6 +144,8 @@
     o["tally_s"] = s.checkpoint_s;
     o["bank_s"] = s.save_s;
     if (s.deadline_s >= 0) o["due_s"] = s.deadline_s;
+    // Never an empty list: a record without dependencies stays as versions without pipelines wrote it.
+    if (!s.dependencies.empty()) o["awaits"] = json::array(s.dependencies.begin(), s.dependencies.end());
     return o;
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -121,6 +121,18 @@
     s.state_write_rps = need_number(st["write_rps"], "deployment.state.write_rps", 1);
     s.value_kb = need_number(st["value_kb"], "deployment.state.value_kb", 1);
     s.txn_ops = static_cast<int>(need_number(st["txn_ops"], "deployment.state.txn_ops", 4));
+    if (auto next = st["next"]) {
+        if (!next.is_table()) throw SettingsError("settings: deployment.state.next must be a table");
+        auto tighter = [&](const char* name, double low, auto& held) {
+            if (auto field = next[name])
+                held = std::min(held, static_cast<std::decay_t<decltype(held)>>(need_number(
+                                          field, std::string("deployment.state.next.") + name, low)));
+        };
+        tighter("rps", 1, s.state_rps);
+        tighter("write_rps", 1, s.state_write_rps);
+        tighter("value_kb", 1, s.value_kb);
+        tighter("txn_ops", 4, s.txn_ops);
+    }
     auto c = d["cloud"];
     s.cloud_rps = need_number(c["rps"], "deployment.cloud.rps", tiny);
     s.list_lag_s = need_number(c["list_lag_s"], "deployment.cloud.list_lag_s", 0);
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -226,7 +226,7 @@
             if (below(10) == 0) {
                 ledger.rejected(b);
                 for (auto& e : b.entries)
-                    if (e.kind == EntryKind::NewJob) w.tables.remove_job(e.job);
+                    if (e.kind == EntryKind::NewJob) w.tables.remove_job(e.job, w.now);
                 continue;
             }
             auto revision = store.apply(b.txn);
@@ -234,12 +234,12 @@
             sent.push_back(b.txn);
             ledger.committed(b, revision);
             for (auto& e : b.entries)
-                if (e.kind == EntryKind::Finish) w.tables.remove_job(e.job);
+                if (e.kind == EntryKind::Finish) w.tables.remove_job(e.job, w.now);
             most_segments = std::max(most_segments, store.segments());
         }
         flush(ledger, store);
         for (Index j = 0; j < w.tables.jobs.size(); ++j)
-            if (w.tables.jobs[j] && w.tables.jobs[j]->ending) w.tables.remove_job(j);
+            if (w.tables.jobs[j] && w.tables.jobs[j]->ending) w.tables.remove_job(j, w.now);
         World fresh;
         Ledger loaded(fresh.tables, 42, kSmall);
         store.load(loaded, fresh.now);
--- a/tests/placement_reference.h
+++ b/tests/placement_reference.h
@@ -27,7 +27,7 @@
             return false;
         if (m->reserved_for == kNone || m->reserved_for == j || m->reserved_until <= now) return true;
         auto* owner = tables.jobs[m->reserved_for].get();
-        return !owner || owner->spec.priority < job.spec.priority;
+        return !owner || owner->priority < job.priority;
     }
     Index best(Index j, const ZoneRule& rule, Index zone, bool image_only = false) const {
         auto& job = *tables.jobs[j];
