--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -432,6 +432,11 @@
 
 bool Tables::over_guarantee(const Team& team) const { return !within_guarantee(team, {}); }
 
+double Tables::report_due_s(const Machine& m, double now) const {
+    double due = m.last_report + report_s_ - now;
+    return due > -0.3 * report_s_ ? due : 1e9;
+}
+
 bool Tables::refused(Index type, Index zone, bool spot, double now) const {
     return std::any_of(refusals.begin(), refusals.end(), [&](auto& r) {
         return r.first > now && r.second == Refusal{type, zone, spot};
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -225,6 +225,8 @@
     bool within_limit(const Team& team, const Resources& extra) const;
     bool within_guarantee(const Team& team, const Resources& extra) const;
     bool over_guarantee(const Team& team) const;
+    // Until the machine's worker should report, and can be told to start something; late ones may be silent.
+    double report_due_s(const Machine& m, double now) const;
     bool refused(Index type, Index zone, bool spot, double now) const;
 
   private:
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -80,8 +80,11 @@
 namespace {
 
 // Smaller is a better fit. GPUs are not spent on tasks that need none while there is another place.
-using Fit = std::tuple<bool, bool, bool, int64_t, bool, bool, int64_t, int64_t>;
-Fit fit(const Job& job, const Machine& m, Index index) {
+// Among equals, one that reports soon: until then a task can't start, and a gang waits for the last of its
+// own.
+using Fit = std::tuple<bool, bool, bool, int64_t, bool, bool, int64_t, int64_t, double>;
+Fit fit(const Tables& tables, const Job& job, Index index, double now) {
+    auto& m = *tables.machines[index];
     auto left = m.room() - job.spec.need;
     bool wasted_gpus = job.spec.need.gpu == 0 && m.size.gpu > 0;
     int64_t rest = job.spec.need.gpu > 0 ? left.gpu : left.cpu;
@@ -92,7 +95,8 @@
             !m.has_image(job.spec.image),
             !m.spot,
             left.cpu,
-            left.mem};
+            left.mem,
+            tables.report_due_s(m, now)};
 }
 
 // Where tasks may run: what jobs ask for, room aside.
@@ -180,7 +184,7 @@
     void fill(const Job& job, const std::vector<Index>& candidates, ZoneRule& rule, Place place) {
         std::vector<std::pair<Fit, Index>> heap;
         heap.reserve(candidates.size());
-        for (auto i : candidates) heap.emplace_back(fit(job, *tables_.machines[i], i), i);
+        for (auto i : candidates) heap.emplace_back(fit(tables_, job, i, now_), i);
         std::make_heap(heap.begin(), heap.end(), std::greater<>());
         while (!heap.empty()) {
             std::pop_heap(heap.begin(), heap.end(), std::greater<>());
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -140,6 +140,7 @@
         for (uint32_t k = below(3); k > 0; --k)
             m.images.push_back(names.images.intern("i" + std::to_string(below(4))));
         m.up = below(10) > 0;
+        m.last_report = w.now - 0.5 * below(8);
     }
     std::vector<Index> waiting;
     for (uint32_t n = 1; n <= 30; ++n) {
--- a/tests/placement_reference.h
+++ b/tests/placement_reference.h
@@ -20,7 +20,8 @@
         auto left = m.room() - job.spec.need;
         return std::make_tuple(job.spec.need.gpu == 0 && m.size.gpu > 0, job.failed_on.count(i) > 0,
                                m.tasks.empty(), job.spec.need.gpu > 0 ? left.gpu : left.cpu,
-                               !m.has_image(job.spec.image), !m.spot, left.cpu, left.mem);
+                               !m.has_image(job.spec.image), !m.spot, left.cpu, left.mem,
+                               tables.report_due_s(m, now));
     }
     std::vector<Index> open{};
     std::map<Index, Priority> held{};
