--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -44,6 +44,7 @@
 
   private:
     using Reply = OneShot<PeerReply>;
+    static const PeerReply kNotFound, kNeverRuns, kTooLong;
     struct Asked {
         PeerCall call;
         Reply reply;
@@ -52,7 +53,7 @@
         PeerCall call;
         Reply reply;
         StateResult<StateItem> result;
-        int refusal = 404;  // the answer should there be no final state
+        PeerReply refusal;  // the answer should there be no final state
     };
     struct TxnDone {
         LedgerBatch batch;
@@ -103,7 +104,7 @@
     };
     boost::asio::awaitable<Applied> was_applied(const StateTxn& txn);
     boost::asio::awaitable<void> read_final(std::shared_ptr<Leader> self, PeerCall call, Reply reply,
-                                            int refusal);
+                                            PeerReply refusal);
     boost::asio::awaitable<void> read_dependencies(std::shared_ptr<Leader> self, PeerCall call, Reply reply,
                                                    std::vector<std::string> ids);
     boost::asio::awaitable<void> types_loop(std::shared_ptr<Leader> self);
@@ -134,7 +135,7 @@
         bool cancelled = false;  // one of them is: and so is the job
     };
     std::optional<Dependence> dependence(PeerCall& call, Reply& reply, const JobSpec& spec);
-    void refuse_for_good(PeerCall& call, Reply& reply, const std::string& id);
+    void refuse_for_good(PeerCall& call, Reply& reply, const std::string& id, PeerReply refusal = kNeverRuns);
     void check_dependencies(Index job);
     void drop_new_job(Index job);
     void status(PeerCall& call, Reply& reply);
--- a/src/coordination/leader_records.cpp
+++ b/src/coordination/leader_records.cpp
@@ -173,7 +173,7 @@
             waiters_.erase(id);
             drop_new_job(e.job);
             for (auto& [op, reply] : waiting)
-                asio::co_spawn(io_, read_final(shared_from_this(), PeerCall{op, id, ""}, reply, 404),
+                asio::co_spawn(io_, read_final(shared_from_this(), PeerCall{op, id, ""}, reply, kNotFound),
                                asio::detached);
         }
         if (explained != m.result.failed.size()) {
--- a/src/coordination/leader_users.cpp
+++ b/src/coordination/leader_users.cpp
@@ -20,6 +20,10 @@
 
 }  // namespace
 
+const PeerReply Leader::kNotFound{404, "{}"};
+const PeerReply Leader::kNeverRuns{422, R"({"error":"can never run"})"};
+const PeerReply Leader::kTooLong{400, R"({"error":"the job's description is too long"})"};
+
 void Leader::handle(Asked& m) {
     switch (m.call.op) {
         case PeerOp::Submit:
@@ -129,8 +133,9 @@
     else if (job.waits)
         tables_.set_dependencies(index, depends->on, now_);
     if (!ledger_.can_hold(index)) {
+        // A version that recorded longer ones may have accepted it.
         tables_.remove_job(index, now_);
-        return reply.set({400, R"({"error":"the job's description is too long"})"});
+        return refuse_for_good(call, reply, id, kTooLong);
     }
     waiters_[id].emplace_back(PeerOp::Submit, reply);
     ledger_.new_job(index);
@@ -169,9 +174,10 @@
 }
 
 // The job may have been accepted when more was on offer, and have ended: then its final state is the answer.
-void Leader::refuse_for_good(PeerCall& call, Reply& reply, const std::string& id) {
+void Leader::refuse_for_good(PeerCall& call, Reply& reply, const std::string& id, PeerReply refusal) {
     call.subject = id;
-    asio::co_spawn(io_, read_final(shared_from_this(), std::move(call), reply, 422), asio::detached);
+    asio::co_spawn(io_, read_final(shared_from_this(), std::move(call), reply, std::move(refusal)),
+                   asio::detached);
 }
 
 // One after the other: a long list must not take the rate that renewals of the lease need. What was read is
@@ -223,7 +229,7 @@
     }
     if (auto it = finals_.find(call.subject); it != finals_.end())
         return reply.set(final_reply(call.subject, it->second, PeerOp::Status));
-    asio::co_spawn(io_, read_final(shared_from_this(), std::move(call), reply, 404), asio::detached);
+    asio::co_spawn(io_, read_final(shared_from_this(), std::move(call), reply, kNotFound), asio::detached);
 }
 
 void Leader::cancel(PeerCall& call, Reply& reply) {
@@ -233,7 +239,8 @@
     if (it == tables_.job_index.end()) {
         if (auto f = finals_.find(call.subject); f != finals_.end())
             return reply.set(final_reply(call.subject, f->second, PeerOp::Cancel));
-        asio::co_spawn(io_, read_final(shared_from_this(), std::move(call), reply, 404), asio::detached);
+        asio::co_spawn(io_, read_final(shared_from_this(), std::move(call), reply, kNotFound),
+                       asio::detached);
         return;
     }
     auto& job = *tables_.jobs[it->second];
@@ -247,9 +254,9 @@
 }
 
 asio::awaitable<void> Leader::read_final(std::shared_ptr<Leader> self, PeerCall call, Reply reply,
-                                         int refusal) {
+                                         PeerReply refusal) {
     auto result = co_await state_.get(final_key(call.subject), 1.2);
-    self->post(FinalRead{std::move(call), reply, std::move(result), refusal});
+    self->post(FinalRead{std::move(call), reply, std::move(result), std::move(refusal)});
 }
 
 void Leader::handle(FinalRead& m) {
@@ -267,8 +274,7 @@
     }
     // What was read is as old as the read: the job may have come, or ended, meanwhile.
     bool here = tables_.find_job(id) || finals_.count(id);
-    if (m.result.outcome == StateOutcome::Missing && !here)
-        return m.reply.set({m.refusal, m.refusal == 422 ? R"({"error":"can never run"})" : "{}"});
+    if (m.result.outcome == StateOutcome::Missing && !here) return m.reply.set(std::move(m.refusal));
     m.reply.set(come_back());
 }
 
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -470,6 +470,24 @@
     EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
 }
 
+TEST(LowerLimits, ALongJobThatEndedIsKnownToALeaderThatCouldNotRecordIt) {
+    Service s(1);
+    auto body = Service::submission("req-1", "array", 1);
+    json::array rigs{"std"};
+    for (int i = 0; i < 15; ++i) rigs.emplace_back(std::string(90, 'x') + std::to_string(i));
+    body = Service::with(body, "rigs", rigs);
+    s.cloud->jobs["req-1"] = {};
+    EXPECT_EQ(s.ask("POST", "/v2/runs", body).status, 201);
+    EXPECT_TRUE(s.done("req-1"));
+    s.base.value_kb = 1;
+    s.crash(0);
+    s.add_node(1);
+    EXPECT_EQ(s.ask("POST", "/v2/runs", body).status, 200);
+    body = Service::with(body, "name_id", "req-2");
+    EXPECT_EQ(s.ask("POST", "/v2/runs", body).status, 400);
+    EXPECT_EQ(s.status("req-1"), "done");
+}
+
 TEST(LowerLimits, ATransactionWithoutAnAnswerIsUnknownEvenWhenItsNextCopyIsRefused) {
     // The second copy comes back as malformed, since the limits fell meanwhile. That says nothing of the
     // first: taken for not executed, what it told would have been told again beside it.
