--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -119,6 +119,7 @@
         for (auto& rank : ranks)
             for (auto j : rank) {
                 auto& need = tables.jobs[j]->spec.need;
+                lowest_ = std::min(lowest_, tables.jobs[j]->priority);
                 least = any ? Resources{std::min(least.cpu, need.cpu), std::min(least.gpu, need.gpu),
                                         std::min(least.mem, need.mem)}
                             : need;
@@ -165,11 +166,13 @@
     // that a single end left, and 2-CPU tasks of high priority waited minutes behind 1-CPU ones of lower. Not
     // for tasks that take a machine to themselves: those have machines cleared.
     void hold(const Job& job) {
+        if (job.priority == lowest_) return;  // nobody would pass by
         auto& need = job.spec.need;
         std::vector<std::pair<int64_t, Index>> some;
         for (auto i : open_) {
             auto& m = *tables_.machines[i];
-            if (need.fits_in(m.room()) || need.times_in(m.size) < 2 || held_.count(i)) continue;
+            if (need.fits_in(m.room()) || need.times_in(m.size) < 2) continue;
+            if (auto held = held_.find(i); held != held_.end() && held->second >= job.priority) continue;
             if (!tables_.machine_allowed(job.spec, m) || tables_.spares_gpus(job.spec, m.type)) continue;
             some.emplace_back(need.cpu - m.room().cpu, i);
         }
@@ -217,8 +220,9 @@
     Tables& tables_;
     double now_;
     std::vector<Index> open_, reserved_for_;
-    std::map<Index, Priority> held_;  // machines that jobs of lower priority pass by
-    std::vector<Terms> full_;         // terms on which nothing was found
+    Priority lowest_ = Priority::Production;  // of the waiting jobs
+    std::map<Index, Priority> held_;          // machines that jobs of lower priority pass by
+    std::vector<Terms> full_;                 // terms on which nothing was found
     std::vector<std::pair<Terms, Resources>> capacities_;
 };
 
