--- a/src/bookkeeping/state_client.cpp
+++ b/src/bookkeeping/state_client.cpp
@@ -34,6 +34,7 @@
                 break;
             case 429:
             case 503:
+                out.too_fast = answer->status == 429;
                 out.outcome = StateOutcome::Refused;
                 break;
             default:
--- a/src/bookkeeping/state_client.h
+++ b/src/bookkeeping/state_client.h
@@ -22,23 +22,35 @@
     StateOutcome outcome = StateOutcome::Unknown;
     T value{};
     std::vector<std::string> failed;  // Conflict: the keys
+    bool too_fast = false;            // Refused: for the rate (429)
     explicit operator bool() const { return outcome == StateOutcome::Ok; }
 };
 
-// A rate with bursts of one second's worth.
+// A rate with bursts. Where it proves too high, it falls at once and comes back in some minutes: a limit that
+// was not announced would else refuse transactions all the time.
 class RateBudget {
   public:
-    RateBudget(double per_s, double burst_s) : rate_(per_s), burst_(per_s * burst_s), level_(burst_) {}
+    RateBudget(double per_s, double burst_s)
+        : allowed_(per_s), rate_(per_s), burst_s_(burst_s), level_(per_s * burst_s) {}
     double available(double now) {
-        if (last_ > 0) level_ = std::min(burst_, level_ + (now - last_) * rate_);
+        if (last_ > 0) {
+            level_ = std::min(rate_ * burst_s_, level_ + (now - last_) * rate_);
+            rate_ = std::min(allowed_, rate_ + (now - last_) * allowed_ * kRecovery);
+        }
         last_ = now;
         return level_;
     }
     void take(double n) { level_ -= n; }
     void drain() { level_ = std::min(level_, 0.0); }
+    void too_fast() {
+        rate_ = std::max(allowed_ * kLeast, rate_ * kFall);
+        drain();
+    }
+    double rate() const { return rate_; }
 
   private:
-    double rate_, burst_, level_, last_ = 0;
+    static constexpr double kFall = 0.8, kLeast = 0.1, kRecovery = 0.001;
+    double allowed_, rate_, burst_s_, level_, last_ = 0;
 };
 
 class StateClient {
--- a/src/coordination/leader_records.cpp
+++ b/src/coordination/leader_records.cpp
@@ -197,7 +197,7 @@
         // refused for ever, and with it all that waits to be recorded.
         if (m.result.outcome == StateOutcome::Invalid && ledger_.shrink())
             spdlog::error("state: a transaction was refused as malformed, the next ones are smaller");
-        writes_.drain();
+        m.result.too_fast ? writes_.too_fast() : writes_.drain();
         flush_not_before_ = now_ + std::uniform_real_distribution<double>(0.2, 0.5)(random_);
     }
     ledger_.rejected(m.batch);
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -2,6 +2,7 @@
 
 #include <random>
 
+#include "bookkeeping/state_client.h"
 #include "coordination/election.h"
 #include "coordination/placement.h"
 #include "fixtures.h"
@@ -238,6 +239,34 @@
     EXPECT_EQ(condition(ledger.next(12), kTypesKey), 50u);
 }
 
+TEST(RateBudget, FallsWhereItProvesTooHighAndComesBack) {
+    // Against limits that were not announced: 20 a second asked for.
+    for (double held : {30.0, 15.0, 8.0}) {
+        RateBudget budget(20, 1);
+        double level = held, now = 1;
+        int done = 0, refused = 0;
+        for (int i = 0; i < 6000; ++i, now += 0.05) {  // five minutes
+            level = std::min(held, level + 0.05 * held);
+            if (budget.available(now) < 1) continue;
+            budget.take(1);
+            if (level < 1) {
+                ++refused;
+                budget.too_fast();
+            } else {
+                level -= 1;
+                ++done;
+            }
+        }
+        EXPECT_GT(done, 0.7 * 300 * std::min(held, 20.0)) << held;
+        EXPECT_LT(refused, held < 20 ? 30 : 1) << held;
+        EXPECT_LE(budget.rate(), 20);
+    }
+    // A refusal for any other reason changes no rate.
+    RateBudget budget(20, 1);
+    budget.drain();
+    EXPECT_EQ(budget.rate(), 20);
+}
+
 TEST(Election, NoTimeIsLeftForTwoLeadersOrALateCancellation) {
     struct Row {
         double report_s, lease_s, cancel_s;
