Cheap machines are rented sooner than room comes on those that are there

The factor now shrinks with the root of the price over the dearest type's, to 0.3 at the least, and work is laid on machines that are coming up before more are rented. The test keeps its cases for a machine as dear as any and gains cheap ones.

--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -12,6 +12,7 @@
 constexpr int kMaxRental = 50;  // machines in one request to the cloud
 constexpr double kNewcomer_s = 15;
 constexpr double kSooner = 1.3;        // a new machine must be sooner by this factor to be worth renting
+constexpr double kEager = 0.3;         // and by no less than this share of it, however cheap
 constexpr double kPatience = 0.15;     // share of a job's slack that it may wait for room
 constexpr double kThrift = 0.85;       // and as much more as a new machine would stand empty
 constexpr double kStopping_s = 3;      // a task told to stop is gone soon
@@ -29,6 +30,7 @@
     double from;  // seconds from now at which `room` is there
     Resources room;
     std::vector<std::pair<double, Resources>> ends;  // what running tasks will free, soonest first
+    bool rising = false;                             // not up yet
 
     // When a task will find room here; `taken`: the ends it waits for.
     double start(const Resources& need, size_t& taken) const {
@@ -72,7 +74,8 @@
         if (!booting && !usable(*m)) continue;
         Coming c{m->type,   m->zone,
                  m->spot,   booting ? std::max(0.2 * boot, m->rented + tables.boot_factor * boot - now) : 0,
-                 m->room(), {}};
+                 m->room(), {},
+                 booting};
         for (auto& ref : m->tasks) {
             auto& job = *tables.jobs[ref.job];
             if (job.spec.kind == JobKind::Service) continue;
@@ -111,7 +114,7 @@
                 double cost = (spot ? type.spot_price : type.price) / static_cast<double>(fits);
                 if (offer.type == kNone || cost < best_cost - 1e-12) {
                     best_cost = cost;
-                    offer = {t, z, spot, tables.boot_factor * type.boot_s, type.size, {}};
+                    offer = {t, z, spot, tables.boot_factor * type.boot_s, type.size, {}, true};
                 }
             }
         }
@@ -199,6 +202,17 @@
     std::vector<Coming> coming;
     std::vector<bool> silent;
 
+    // A machine is rented where room comes later than this share of its boot. A cheap one is rented sooner:
+    // where work never stops, tasks used to wait as long as a boot for each other's room, whatever more
+    // machines cost.
+    double eager(const Coming& offer) const {
+        double dearest = 0;
+        for (auto& t : tables.types)
+            if (t.offered) dearest = std::max(dearest, t.type.price);
+        if (offer.type == kNone || dearest <= 0) return kSooner;
+        return kSooner * std::max(kEager, std::sqrt(tables.types[offer.type].type.price / dearest));
+    }
+
     // `tasks` of the job, in the zone `only` (kNone: any).
     Plan plan(const Job& job, size_t tasks, Index only, ZoneRule rule, double slack) const {
         auto& spec = job.spec;
@@ -206,23 +220,32 @@
         plan.late = false;
         plan.latest = 0;
         double run = tables.expected_run_s(spec);
-        // The machine with room the soonest goes first.
+        // The machine with room the soonest goes first. `uses`: of the machine when this was reckoned.
         struct Next {
             double at;
             size_t machine, taken;
+            uint32_t uses;
             bool operator>(const Next& o) const { return std::tie(at, machine) > std::tie(o.at, o.machine); }
         };
-        std::vector<Next> heap;
+        std::vector<Next> heap, rising;  // of the second the soonest last
+        std::map<size_t, uint32_t> uses;
+        auto used = [&](size_t i) {
+            auto it = uses.find(i);
+            return it == uses.end() ? 0 : it->second;
+        };
         auto add = [&](const Coming& c, size_t i) {
             size_t taken;
             double at = c.start(spec.need, taken);
-            if (at < 1e17) heap.push_back({at, i, taken});
+            if (at > 1e17) return;
+            heap.push_back({at, i, taken, used(i)});
+            if (c.rising && taken == 0) rising.push_back(heap.back());
         };
         for (size_t i = 0; i < coming.size(); ++i) {
             auto& c = coming[i];
             if (serves(tables, spec, c) && (only == kNone || c.zone == only)) add(c, i);
         }
         std::make_heap(heap.begin(), heap.end(), std::greater<>());
+        std::sort(rising.begin(), rising.end(), std::greater<>());
         auto machine = [&](size_t i) -> Coming& {
             auto it = plan.machines.find(i);
             return it != plan.machines.end() ? it->second : plan.machines.emplace(i, coming[i]).first->second;
@@ -240,7 +263,8 @@
                 auto it = plan.machines.find(n.machine);
                 return rule.allows(it != plan.machines.end() ? it->second.zone : coming[n.machine].zone);
             };
-            while (!heap.empty() && ruled && !allowed(heap.front())) {
+            auto stale = [&](const Next& n) { return n.uses != used(n.machine) || (ruled && !allowed(n)); };
+            while (!heap.empty() && stale(heap.front())) {
                 std::pop_heap(heap.begin(), heap.end(), std::greater<>());
                 heap.pop_back();
             }
@@ -252,12 +276,19 @@
             if (offer.type != kNone)
                 filled = std::min(
                     1.0, static_cast<double>(rest) / static_cast<double>(spec.need.times_in(offer.room)));
+            double patience = (kPatience + kThrift * (1 - filled)) * slack;
             double best_at = heap.empty() ? 1e18 : heap.front().at;
-            bool soon =
-                best_at <= std::max(kSooner * offer.from, (kPatience + kThrift * (1 - filled)) * slack);
-            bool wait = !heap.empty() && (offer.type == kNone || soon);
-            Next next{offer.from, known, 0};
-            if (wait) {
+            bool wait = !heap.empty() &&
+                        (offer.type == kNone || best_at <= std::max(eager(offer) * offer.from, patience));
+            Next next{offer.from, known, 0, 0};
+            // What is coming up was rented for such work already.
+            if (!wait)
+                while (!rising.empty() && stale(rising.back())) rising.pop_back();
+            if (!wait && !rising.empty() && rising.back().at <= kSooner * offer.from) {
+                wait = true;
+                next = rising.back();
+                rising.pop_back();
+            } else if (wait) {
                 std::pop_heap(heap.begin(), heap.end(), std::greater<>());
                 next = heap.back();
                 heap.pop_back();
@@ -269,10 +300,11 @@
                 ++plan.rented;
                 plan.machines.emplace(known++, offer);
             }
-            plan.late = plan.late || (wait && !soon);
+            plan.late = plan.late || (wait && next.at > std::max(kSooner * offer.from, patience));
             plan.latest = std::max(plan.latest, next.at);
             auto& c = machine(next.machine);
             c.take(spec.need, next.at, next.taken, run + tables.fetch_s(spec, c.type));
+            ++uses[next.machine];
             rule.add(c.zone);
             add(c, next.machine);
             std::push_heap(heap.begin(), heap.end(), std::greater<>());
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -489,12 +489,27 @@
 
 TEST(Sizing, WaitsForRoomThatComesSoonerThanANewMachine) {
     struct Row {
+        const char* why;
+        double price;  // of the dearest type: 1, or ten times as much
         double left_s, deadline_s;
         size_t rentals;
     };
-    // A new machine takes 30 s; a job with time to spare waits longer than that.
-    for (auto& row : {Row{20, 60, 0}, Row{60, 60, 1}, Row{60, 600, 0}}) {
+    // A new machine takes 30 s, and costs 1.
+    const Row rows[] = {
+        {"room comes sooner", 1, 20, 60, 0},
+        {"room comes later", 1, 60, 60, 1},
+        {"time to spare", 1, 60, 600, 0},
+        // Work that never stops once waited as long as a boot for its own room, for the sake of cheap
+        // machines.
+        {"cheap: room comes sooner, though not by much", 10, 20, 60, 1},
+        {"cheap: room comes much sooner", 10, 10, 60, 0},
+        {"cheap: time to spare", 10, 60, 600, 0},
+    };
+    for (auto& row : rows) {
         World w;
+        auto types = std::vector<MachineType>{w.tables.types[0].type, w.tables.types[1].type};
+        types[1].price = row.price;
+        w.tables.set_types(types);
         auto m = w.machine("m0");
         auto s = w.spec("req-1", JobKind::Array, 1, 8);
         s.estimate_s = row.left_s;
@@ -503,8 +518,14 @@
         s.id = "req-2";
         s.deadline_s = row.deadline_s;
         w.job(s);
-        EXPECT_EQ(plan_rentals(w.tables, any_machine, {}, w.now).size(), row.rentals)
-            << row.left_s << " " << row.deadline_s;
+        EXPECT_EQ(plan_rentals(w.tables, any_machine, {}, w.now).size(), row.rentals) << row.why;
+        // What is coming up already is not rented again.
+        auto coming = w.tables.add_machine("m1", w.now);
+        w.tables.describe_machine(*w.tables.machines[coming], "std", "a", false);
+        EXPECT_TRUE(plan_rentals(
+                        w.tables, [&](auto& x) { return x.up; }, {}, w.now)
+                        .empty())
+            << row.why;
     }
 }
 
