--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -201,14 +201,12 @@
     double now;
     std::vector<Coming> coming;
     std::vector<bool> silent;
+    double dearest;  // of the prices offered
 
     // A machine is rented where room comes later than this share of its boot. A cheap one is rented sooner:
     // where work never stops, tasks used to wait as long as a boot for each other's room, whatever more
     // machines cost.
     double eager(const Coming& offer) const {
-        double dearest = 0;
-        for (auto& t : tables.types)
-            if (t.offered) dearest = std::max(dearest, t.type.price);
         if (offer.type == kNone || dearest <= 0) return kSooner;
         return kSooner * std::max(kEager, std::sqrt(tables.types[offer.type].type.price / dearest));
     }
@@ -228,16 +226,12 @@
             bool operator>(const Next& o) const { return std::tie(at, machine) > std::tie(o.at, o.machine); }
         };
         std::vector<Next> heap, rising;  // of the second the soonest last
-        std::map<size_t, uint32_t> uses;
-        auto used = [&](size_t i) {
-            auto it = uses.find(i);
-            return it == uses.end() ? 0 : it->second;
-        };
+        std::vector<uint32_t> uses(coming.size() + tasks, 0);
         auto add = [&](const Coming& c, size_t i) {
             size_t taken;
             double at = c.start(spec.need, taken);
             if (at > 1e17) return;
-            heap.push_back({at, i, taken, used(i)});
+            heap.push_back({at, i, taken, uses[i]});
             if (c.rising && taken == 0) rising.push_back(heap.back());
         };
         for (size_t i = 0; i < coming.size(); ++i) {
@@ -263,7 +257,7 @@
                 auto it = plan.machines.find(n.machine);
                 return rule.allows(it != plan.machines.end() ? it->second.zone : coming[n.machine].zone);
             };
-            auto stale = [&](const Next& n) { return n.uses != used(n.machine) || (ruled && !allowed(n)); };
+            auto stale = [&](const Next& n) { return n.uses != uses[n.machine] || (ruled && !allowed(n)); };
             while (!heap.empty() && stale(heap.front())) {
                 std::pop_heap(heap.begin(), heap.end(), std::greater<>());
                 heap.pop_back();
@@ -343,7 +337,10 @@
 
 std::vector<Rental> plan_rentals(const Tables& tables, const Usable& usable, const SizingSettings& settings,
                                  double now) {
-    Layout layout{tables, now, known_machines(tables, usable, now), silent_zones(tables, usable)};
+    double dearest = 0;
+    for (auto& t : tables.types)
+        if (t.offered) dearest = std::max(dearest, t.type.price);
+    Layout layout{tables, now, known_machines(tables, usable, now), silent_zones(tables, usable), dearest};
     Wanted wanted;
     std::vector<Resources> team_extra(tables.teams.size());
     for (auto j : waiting_jobs(tables, now)) {
