--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -429,12 +429,15 @@
 TEST(Pipelines, ACancellationIsThatOfAllWhoNeedTheJobWhateverBecomesOfTheLeader) {
     struct Row {
         const char* why;
-        bool lose_answer, crash, outage;
+        bool lose_answer, late, crash, outage;
     };
-    const Row rows[] = {{"told", false, false, false},
-                        {"its record's answer is lost", true, false, false},
-                        {"the leader ends at once", false, true, false},
-                        {"an outage begins at once, and the leader ends in it", false, true, true}};
+    const Row rows[] = {
+        {"told", false, false, false, false},
+        {"its record's answer is lost", true, false, false, false},
+        {"its record is executed late", false, true, false, false},
+        {"the leader ends at once", false, false, true, false},
+        {"the record's answer is lost, and the leader ends at once", true, false, true, false},
+        {"an outage begins at once, and the leader ends in it", false, false, true, true}};
     for (auto& row : rows) {
         Service s(2);
         EXPECT_EQ(s.submit_after("req-1", {}, 1000), 201);
@@ -444,8 +447,11 @@
         EXPECT_EQ(s.submit_after("req-5", {"req-4", "req-3"}), 201);
         ASSERT_TRUE(s.until([&] { return s.cloud->on_some_machine("req-1"); }));
         s.state->lose_txn_answers = row.lose_answer;
+        s.state->delay_txns = row.late;
         auto a = s.ask("POST", "/v2/runs/req-1/cancel");
         EXPECT_EQ(json::parse(a.body).at("status"), "aborted") << row.why;
+        EXPECT_EQ(json::parse(s.ask("POST", "/v2/runs/req-1/cancel").body).at("status"), "aborted")
+            << row.why;
         s.state->down = row.outage;
         if (row.crash) s.crash(s.leader().back() - '0');
         if (row.outage) s.state->end_outage();
