--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -16,6 +16,7 @@
 constexpr size_t kFull = 8 * 1024;
 constexpr size_t kEntryBytes = 700;  // rows of one entry, about
 constexpr size_t kRetoldAtOnce = 3 * 1024;
+constexpr size_t kSpare = 64;         // of a value's limit, left free
 constexpr size_t kLeastValue = 1024;  // what any state service should take
 constexpr int kLeastOps = 4;
 constexpr size_t kDroppedAtOnce = 3;
@@ -48,9 +49,6 @@
     return body;
 }
 
-}  // namespace
-
-namespace {
 // What stands behind the pieces of a long record.
 std::string record_head(const Job& job, size_t pieces) {
     auto head = job_head(job);
@@ -122,6 +120,10 @@
     int ops;  // changes that the transaction may still have
     uint64_t next_number;
 
+    void condition(LedgerBatch& b, std::string key, uint64_t version) {
+        bytes += key.size() + 40;
+        b.txn.conditions.push_back({std::move(key), version});
+    }
     bool put(const std::string& entry) {
         bool fits = !segments.empty() && segments.back().text.size() + entry.size() + 2 <= soft;
         size_t more = entry.size() + 300;
@@ -153,15 +155,15 @@
 
 void Ledger::set_limits(int txn_ops, size_t value_bytes) {
     txn_ops_ = txn_ops;
-    hard_limit_ = value_bytes - 64;
+    hard_limit_ = value_bytes - kSpare;
     soft_limit_ = std::min(hard_limit_, kFull);
     entry_limit_ = std::min(kEntryBytes, hard_limit_ / 2);
 }
 
 bool Ledger::shrink() {
     int ops = std::max(kLeastOps, txn_ops_ / 2);
-    size_t bytes = std::max(kLeastValue, (hard_limit_ + 64) / 2);
-    if (ops >= txn_ops_ && bytes >= hard_limit_ + 64) return false;
+    size_t now = hard_limit_ + kSpare, bytes = std::max(kLeastValue, now / 2);
+    if (ops >= txn_ops_ && bytes >= now) return false;
     set_limits(ops, bytes);
     // What was cut for the larger limits is cut anew. Pieces already recorded are told again from the first.
     telling_.clear();
@@ -220,10 +222,7 @@
     b.first = first_;
     Staged s{{}, !open_.empty(), soft_limit_, hard_limit_, 0, ops, next_number_};
     if (!open_.empty()) s.segments.push_back({segments_.back().number, open_});
-    auto condition = [&](std::string key, uint64_t version) {
-        s.bytes += key.size() + 40;
-        b.txn.conditions.push_back({std::move(key), version});
-    };
+    auto condition = [&](std::string key, uint64_t version) { s.condition(b, std::move(key), version); };
     auto change = [&](std::string key, std::string value) {
         s.bytes += key.size() + value.size() + 40;
         b.txn.changes.push_back({std::move(key), std::move(value), 0});
@@ -310,8 +309,7 @@
             }
         }
         it = new_jobs_.erase(it);
-        b.txn.conditions.push_back({final_key(job.spec.id), 0});
-        s.bytes += job.spec.id.size() + 42;
+        s.condition(b, final_key(job.spec.id), 0);
         b.entries.push_back({EntryKind::NewJob, index, {}, job.cancel_recorded});
         b.bases.emplace_back(index, base);
         b.urgent = true;
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -136,7 +136,8 @@
     };
     std::optional<Dependence> dependence(PeerCall& call, Reply& reply, const JobSpec& spec);
     void refuse_for_good(PeerCall& call, Reply& reply, const std::string& id, PeerReply refusal = kNeverRuns);
-    void check_dependencies(Index job);
+    void check_cancelled(const std::vector<Index>& jobs);
+    std::optional<FinalState> final_state(const StateItem& item) const;
     void drop_new_job(Index job);
     void status(PeerCall& call, Reply& reply);
     void cancel(PeerCall& call, Reply& reply);
--- a/src/coordination/leader_records.cpp
+++ b/src/coordination/leader_records.cpp
@@ -91,7 +91,7 @@
 void Leader::drop_new_job(Index j) {
     auto on = tables_.dependencies().of(j);
     tables_.remove_job(j, now_);
-    for (auto d : on) check_job(d);  // one of them may have waited for this one's cancellation
+    check_cancelled(on);
 }
 
 // Users are not kept waiting for an outcome that may take long.
@@ -118,7 +118,7 @@
                 dirty_ = true;
                 if (job.cancelled) {
                     check_job(e.job);
-                    check_dependencies(e.job);
+                    check_cancelled(tables_.dependencies().of(e.job));
                 }
             } else if (e.kind == EntryKind::Cancel) {
                 auto& job = *tables_.jobs[e.job];
@@ -128,7 +128,7 @@
                         ledger_.cancel(d);  // a new one's record says so itself
                 answer_waiters(job.spec.id, job_reply(job, PeerOp::Cancel, 200));
                 check_job(e.job);
-                check_dependencies(e.job);
+                check_cancelled(tables_.dependencies().of(e.job));
             } else if (e.kind == EntryKind::Finish) {
                 auto& job = *tables_.jobs[e.job];
                 FinalState f{job.cancelled ? JobState::Cancelled : JobState::Done, job.done};
@@ -143,7 +143,7 @@
                     if (!tables_.jobs[d]->waits && !tables_.jobs[d]->cancelled)
                         spdlog::debug("job: {} ready", tables_.jobs[d]->spec.id);
                 }
-                for (auto d : on) check_job(d);
+                check_cancelled(on);
                 spdlog::debug("job: {} {}", id, f.state == JobState::Done ? "done" : "cancelled");
             }
         }
--- a/src/coordination/leader_tasks.cpp
+++ b/src/coordination/leader_tasks.cpp
@@ -112,10 +112,10 @@
     ledger_.finish(j);
 }
 
-// A cancelled job may end once those that need it are recorded as cancelled, of which this is one.
-void Leader::check_dependencies(Index j) {
-    for (auto d : tables_.dependencies().of(j))
-        if (tables_.jobs[d]->cancelled) check_job(d);
+// A cancelled job may end once those that need it are recorded as cancelled, or gone: one of these was.
+void Leader::check_cancelled(const std::vector<Index>& jobs) {
+    for (auto j : jobs)
+        if (tables_.jobs[j]->cancelled) check_job(j);
 }
 
 void Leader::stop_task(Index j, uint32_t t, bool graceful) {
--- a/src/coordination/leader_users.cpp
+++ b/src/coordination/leader_users.cpp
@@ -168,6 +168,7 @@
         }
     }
     if (unread.empty()) return out;
+    call.subject = spec.id;
     asio::co_spawn(io_, read_dependencies(shared_from_this(), std::move(call), reply, std::move(unread)),
                    asio::detached);
     return {};
@@ -198,12 +199,9 @@
         }
         read.all = static_cast<bool>(result);
         if (!read.all) break;
-        try {
-            read.ended.emplace_back(id, parse_final(result.value.value));
-        } catch (const BadMessage& e) {
-            spdlog::error("leader: malformed record {}: {}", result.value.key, e.what());
-            read.all = false;
-        }
+        auto f = final_state(result.value);
+        read.all = f.has_value();
+        if (f) read.ended.emplace_back(id, *f);
     }
     self->post(std::move(read));
 }
@@ -214,8 +212,7 @@
     if (!m.missing.empty()) {
         // What was read is as old as the read: the job may have come, or ended, meanwhile.
         if (tables_.find_job(m.missing) || finals_.count(m.missing)) return m.reply.set(come_back());
-        auto id = parse_submission(m.call.body, tables_.names).id;
-        return refuse_for_good(m.call, m.reply, id);
+        return refuse_for_good(m.call, m.reply, m.call.subject);
     }
     if (!m.all) return m.reply.set(come_back());
     submit(m.call, m.reply);
@@ -253,6 +250,16 @@
     ledger_.cancel(it->second);
 }
 
+// Nothing: it makes no sense, and is as good as not read.
+std::optional<FinalState> Leader::final_state(const StateItem& item) const {
+    try {
+        return parse_final(item.value);
+    } catch (const BadMessage& e) {
+        spdlog::error("leader: malformed record {}: {}", item.key, e.what());
+        return {};
+    }
+}
+
 asio::awaitable<void> Leader::read_final(std::shared_ptr<Leader> self, PeerCall call, Reply reply,
                                          PeerReply refusal) {
     auto result = co_await state_.get(final_key(call.subject), 1.2);
@@ -263,14 +270,10 @@
     auto& id = m.call.subject;
     if (!sure(now_)) return m.reply.set(come_back());
     if (m.result) {
-        try {
-            auto f = parse_final(m.result.value.value);
-            remember_final(id, f);
-            return m.reply.set(final_reply(id, f, m.call.op));
-        } catch (const BadMessage& e) {
-            spdlog::error("leader: malformed record {}: {}", m.result.value.key, e.what());
-            return m.reply.set(come_back());
-        }
+        auto f = final_state(m.result.value);
+        if (!f) return m.reply.set(come_back());
+        remember_final(id, *f);
+        return m.reply.set(final_reply(id, *f, m.call.op));
     }
     // What was read is as old as the read: the job may have come, or ended, meanwhile.
     bool here = tables_.find_job(id) || finals_.count(id);
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -209,7 +209,6 @@
         s.load(l, w.now);
         auto m = w.machine("vm-000001");
         // Others come, change and end; the log is told anew again and again.
-        size_t most = 0;
         for (int i = 1; i <= 300; ++i) {
             auto spec = w.spec("req-1" + std::to_string(i), JobKind::Array, 20, 0.01);
             if (pipelines && i % 3 == 0) spec.dependencies = {"req-7"};
@@ -226,7 +225,6 @@
             w.tables.jobs[j]->ending = true;
             l.finish(j);
             test::flush(l, w.tables, s, tight, w.now);
-            most = std::max(most, s.segments());
         }
         // In pieces it would not be readable by the version before, which may still lead: its segment stays
         // until pipelines are used.
