--- a/bench/regression.sh
+++ b/bench/regression.sh
@@ -53,15 +53,20 @@
 mapfile -t entries < <(comm -13 <(echo "$before") <(find journal -maxdepth 1 -name '*.json' | sort))
 [ "${#entries[@]}" -ge "${#sites[@]}" ] || { cat "$log"; echo "the bench wrote ${#entries[@]} entries" >&2; exit 3; }
 
+# Days of an entry that count for nothing: a failed day has a fault, a broken rule stands in its rules, and either
+# brings the day's figure to 0.
+wrong_days() {
+  jq -r '[.days[] | select((.rules|length)>0 or .fault!=null or .score==0) | .name + " " + (.rules|tostring) +
+    " " + (.fault|tostring)] | join("; ")' "$1"
+}
+
 bad=0
 printf '%-24s %7s %9s %7s  %s\n' site figure committed change ""
 for s in "${sites[@]}"; do
   site=${s##*/}
   entry=$(jq -r --arg site "$site" 'select(.site==$site) | input_filename' "${entries[@]}" | tail -n 1)
   [ -n "$entry" ] || { echo "no entry for $site" >&2; exit 3; }
-  # A failed day has a fault; a broken rule stands in its rules. Either brings the day's figure to 0.
-  wrong=$(jq -r '[.days[] | select((.rules|length)>0 or .fault!=null or .score==0) | .name + " " + (.rules|tostring) +
-    " " + (.fault|tostring)] | join("; ")' "$entry")
+  wrong=$(wrong_days "$entry")
   last=$(awk -F'\t' -v s="$site" '$1==s {v=$2} END {print v}' "$committed")
   line=$(jq -r --arg last "$last" --arg site "$site" '
     [$site, .score, $last, (if $last=="" then "" else .score-($last|tonumber) end)] | @tsv' "$entry")
@@ -75,8 +80,13 @@
 
 if [ "$full" -eq 1 ]; then
   for f in "${files[@]}"; do
-    "$bench" hunt "$f" --days "$days" >"$log" 2>&1 || { cat "$log"; bad=1; }
-    grep -E 'rule|broken|days' "$log" | sed "s|^|$(basename "$f" .toml): |" | head -n 4
+    before=$(find journal -maxdepth 1 -name '*.json' | sort)
+    "$bench" hunt "$f" --days "$days" --why "$why" >"$log" 2>&1 || bad=1
+    entry=$(comm -13 <(echo "$before") <(find journal -maxdepth 1 -name '*.json' | sort) | tail -n 1)
+    [ -n "$entry" ] || { cat "$log"; echo "the hunt wrote no entry" >&2; exit 3; }
+    wrong=$(wrong_days "$entry")
+    [ -z "$wrong" ] || bad=1
+    echo "hunt on $(basename "$f" .toml): $(jq '.days|length' "$entry") days, ${wrong:-no rule broken}"
   done
 fi
 exit "$bad"
