--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "doors/records.h"
+
 namespace weirmill {
 
 namespace json = boost::json;
@@ -20,6 +22,7 @@
 constexpr size_t kLeastValue = 1024;  // what any state service should take
 constexpr int kLeastOps = 4;
 constexpr size_t kDroppedAtOnce = 3;
+constexpr int kForgetShare = 4;  // of the changes that a transaction may have, one in so many deletes door records
 }  // namespace
 
 std::string segment_key(uint64_t number) { return fmt::format("{}{:016}", kSegments, number); }
@@ -211,7 +214,7 @@
 
 bool Ledger::waiting() const {
     return !new_jobs_.empty() || !cancels_.empty() || !finishes_.empty() || !tables_.changes.empty() ||
-           retelling_ != 0 ||
+           !forgets_.empty() || retelling_ != 0 ||
            std::any_of(notes_.begin(), notes_.end(), [](auto& n) { return !n.second.record.empty(); });
 }
 
@@ -264,6 +267,7 @@
         --s.ops;
         b.entries.push_back({EntryKind::Note, kNone, key});
     }
+    tell_forgets(s, b);
     if (s.open_untouched) s.segments.erase(s.segments.begin());
     // The log first: its keys tell an unsure sender whether the transaction was applied.
     std::vector<StateChange> log;
@@ -282,8 +286,8 @@
 // A job whose record takes several entries lets those behind it go first: it takes a few transactions.
 void Ledger::tell_new_jobs(Staged& s, LedgerBatch& b) {
     for (auto it = new_jobs_.begin(); it != new_jobs_.end();) {
-        // A condition for each change, for the leadership and for the head; the rest is for new jobs.
-        if (b.bases.size() + 2 >= 3 * static_cast<size_t>(txn_ops_)) return;
+        // A condition for each change, for the leadership and for the head; the rest is for new jobs, two each.
+        if (2 * b.bases.size() + 4 > 3 * static_cast<size_t>(txn_ops_)) return;
         Index index = *it;
         auto& job = *tables_.jobs[index];
         auto found = telling_.find(index);
@@ -310,6 +314,9 @@
         }
         it = new_jobs_.erase(it);
         s.condition(b, final_key(job.spec.id), 0);
+        // Nor was it accepted by a door, and maybe cancelled there, behind this leader's back.
+        auto door = doors_.find(index);
+        s.condition(b, door_key(job.spec.id), door == doors_.end() ? 0 : door->second);
         b.entries.push_back({EntryKind::NewJob, index, {}, job.cancel_recorded});
         b.bases.emplace_back(index, base);
         b.urgent = true;
@@ -341,6 +348,16 @@
     }
 }
 
+void Ledger::tell_forgets(Staged& s, LedgerBatch& b) {
+    for (int n = std::max(1, s.ops / kForgetShare); n > 0 && s.ops > 0 && !forgets_.empty(); --n, --s.ops) {
+        auto& [key, version] = forgets_.front();
+        s.condition(b, key, version);
+        b.txn.changes.push_back({key, "", 0});
+        b.entries.push_back({EntryKind::Forget, kNone, key, false, version});
+        forgets_.pop_front();
+    }
+}
+
 // Segments that what is alive should take, with as much again for what is not.
 size_t Ledger::wanted_segments() const {
     size_t bytes = 0;
@@ -454,6 +471,7 @@
             job->version = revision;
             job->cancel_logged = e.cancelled;
             telling_.erase(e.job);
+            doors_.erase(e.job);
         }
         if (e.kind == EntryKind::Note) notes_[e.key].version = revision;
     }
@@ -482,7 +500,8 @@
         auto& e = *it;
         if (e.kind == EntryKind::Cancel) cancels_.push_front(e.job);
         if (e.kind == EntryKind::Finish) finishes_.push_front(e.job);
-        if (e.kind == EntryKind::NewJob) telling_.erase(e.job);
+        if (e.kind == EntryKind::NewJob) telling_.erase(e.job), doors_.erase(e.job);
+        if (e.kind == EntryKind::Forget && !e.key.empty()) forgets_.emplace_front(e.key, e.version);
         if (e.kind != EntryKind::Note) continue;
         // A newer value may have come meanwhile.
         if (notes_[e.key].record.empty())
@@ -495,6 +514,8 @@
     new_jobs_.clear();
     cancels_.clear();
     finishes_.clear();
+    forgets_.clear();
+    doors_.clear();
     notes_.clear();
     segments_.clear();
     open_.clear();
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -40,12 +40,13 @@
     double value_kb = 4;
 };
 
-enum class EntryKind : uint8_t { NewJob, Cancel, Finish, Note };
+enum class EntryKind : uint8_t { NewJob, Cancel, Finish, Note, Forget };
 struct LedgerEntry {
     EntryKind kind = EntryKind::Note;
     Index job = kNone;
-    std::string key;         // Note
+    std::string key;         // Note, Forget (empty: not to be tried again)
     bool cancelled = false;  // NewJob: recorded as cancelled
+    uint64_t version = 0;    // Forget: of the door record
 };
 struct LedgerBatch {
     StateTxn txn;
@@ -73,7 +74,15 @@
   public:
     Ledger(Tables& tables, uint64_t token, LedgerLimits limits);
 
-    void new_job(Index job) { new_jobs_.push_back(job); }
+    // `door`: the version of its door record (doors/records.h), which it replaces; 0: there must be none.
+    void new_job(Index job, uint64_t door = 0) {
+        new_jobs_.push_back(job);
+        if (door != 0) doors_[job] = door;
+    }
+    // A door record that the log, or a final state, stands for by now: deleted when there are changes to spare.
+    void forget(const std::string& key, uint64_t version) { forgets_.emplace_back(key, version); }
+    // All controllers can read records in pieces.
+    void allow_pieces() { pipelines_ = true; }
     void cancel(Index job) { cancels_.push_back(job); }
     void finish(Index job) { finishes_.push_back(job); }
     void note(const std::string& key, std::string record);
@@ -114,6 +123,7 @@
     void retell(Staged& s, LedgerBatch& b);
     void drop(LedgerBatch& b, int ops);
     void tell_tasks(Staged& s, LedgerBatch& b);
+    void tell_forgets(Staged& s, LedgerBatch& b);
     size_t wanted_segments() const;
     void load_entry(const boost::json::array& entry, double now);
     void load_job(const boost::json::object& record, const boost::json::value& body, uint64_t base,
@@ -127,6 +137,8 @@
     size_t entry_limit_;              // bytes of one entry's rows, about
     bool pipelines_ = false;          // the log holds what versions without pipelines can't read
     std::deque<Index> new_jobs_, cancels_, finishes_;
+    std::map<Index, uint64_t> doors_;  // of new jobs that doors accepted: the versions of their records
+    std::deque<std::pair<std::string, uint64_t>> forgets_;
     struct Note {
         std::string record;  // empty: nothing to write
         uint64_t version = 0;
--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -406,6 +406,22 @@
     return spec.need.fits_in(types[type].type.size);
 }
 
+const char* Tables::never_runs(const JobSpec& spec) const {
+    if (spec.team == kNone) return "unknown team";
+    bool fits = false, zone_ok = spec.zone == kNone;
+    for (Index t = 0; t < types.size(); ++t) {
+        if (!type_fits(spec, t)) continue;
+        fits = true;
+        for (auto& z : types[t].type.zones)
+            if (names.zones.find(z) == spec.zone) zone_ok = true;
+    }
+    if (!fits || !zone_ok) return "a task fits no allowed machine type";
+    auto all = spec.kind == JobKind::Array ? spec.need : spec.need * spec.tasks;
+    auto& limit = teams[spec.team].limit;
+    bool over = (limit.cpu && all.cpu > limit.cpu) || (limit.gpu && all.gpu > limit.gpu);
+    return over ? "more than the team's limit" : nullptr;
+}
+
 bool Tables::machine_allowed(const JobSpec& spec, const Machine& m) const {
     if (m.spot && !spec.spot) return false;
     if (spec.zone != kNone && spec.zone != m.zone) return false;
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -219,6 +219,8 @@
     // A gang, or a task that takes over half of every machine type it fits: it needs machines to itself.
     bool large(const JobSpec& spec) const;
     bool type_fits(const JobSpec& spec, Index type) const;
+    // Why the job can never run by the machine types and limits known; null: it may.
+    const char* never_runs(const JobSpec& spec) const;
     // Allowed by type, zone and kind, room aside.
     bool machine_allowed(const JobSpec& spec, const Machine& m) const;
     bool below_limit(const Team& team, const Resources& use) const;
--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 constexpr double kForward_s = 2.2;
+constexpr double kAsked_s = 0.7;  // a leader that has not answered a question by then is not waited for
 constexpr double kPing_s = 1.0;
 constexpr double kDeaf_s = 6;     // a follower this long without its leader sends users elsewhere
 constexpr double kSlow_s = 0.15;  // answers later than this are logged at debug
@@ -38,11 +39,13 @@
         heard_leader_ = steady_now();
     };
     election_ = std::make_unique<Election>(io, settings_, properties_, state_, std::move(events));
+    door_ = std::make_unique<Door>(io, settings_, properties_, state_, metrics_,
+                                   [this] { return leader_ && leader_->ready(); });
     peers_in_ =
         std::make_unique<PeerServer>(io, settings.peer, [this](PeerCall call) -> asio::awaitable<PeerReply> {
             if (call.op == PeerOp::Ping) co_return who_leads();
             if (auto leader = leader_) co_return co_await leader->ask(std::move(call));
-            co_return PeerReply{503, "{}", 1, 0};
+            co_return PeerReply{503, "{}", 1, 0, true};
         });
     // Some sockets are kept for the state service, the cloud, workers and peers.
     http_ = std::make_unique<HttpServer>(io, settings.api, std::max(16, settings.max_sockets - 64),
@@ -70,17 +73,56 @@
 asio::awaitable<PeerReply> Front::to_leader(PeerCall call) {
     if (auto leader = leader_) co_return co_await leader->ask(std::move(call));
     auto* link = leader_link();
-    if (!link) co_return PeerReply{503, R"({"error":"no leader"})", 1, 0};
+    if (!link) co_return PeerReply{503, R"({"error":"no leader"})", 1, 0, true};
+    double asked = steady_now();
+    auto token = leader_token();
+    bool submits = call.op == PeerOp::Submit;
     auto reply = co_await link->call(std::move(call), kForward_s);
-    if (!reply) co_return PeerReply{503, R"({"error":"the leader does not answer"})", 1, 0};
+    if (!reply) {
+        silent_token_ = token;
+        co_return PeerReply{503, R"({"error":"the leader does not answer"})", 1, 0, true};
+    }
     heard_leader_ = steady_now();
+    silent_token_ = 0;
+    if (submits && reply->status < 300) patience_.took(heard_leader_ - asked);
     co_return *reply;
 }
 
+asio::awaitable<void> Front::forward(PeerCall call, OneShot<PeerReply> out) {
+    auto reply = co_await to_leader(std::move(call));
+    out.set(std::move(reply));
+}
+
+asio::awaitable<PeerReply> Front::serve(PeerCall call) {
+    if (!door_->open()) co_return co_await to_leader(std::move(call));
+    PeerCall again = call;
+    if (auto leader = leader_) {
+        auto reply = co_await leader->ask(std::move(call));
+        if (!reply.undecided) co_return reply;
+        co_return co_await door_->serve(std::move(again));
+    }
+    bool silent = !leader_link() || (silent_token_ != 0 && silent_token_ == leader_token());
+    if (silent) co_return co_await door_->serve(std::move(again));
+    // The leader goes on while the door begins: what both take is one job, as their records exclude each other.
+    bool submits = call.op == PeerOp::Submit;
+    double started = steady_now();
+    OneShot<PeerReply> forwarded(io_.get_executor());
+    asio::co_spawn(io_, forward(std::move(call), forwarded), asio::detached);
+    auto reply = co_await forwarded.wait(submits ? patience_.seconds() : kAsked_s);
+    if (reply && !reply->undecided) co_return *reply;
+    auto own = co_await door_->serve(std::move(again));
+    if (reply || own.status != 503) co_return own;
+    auto late = co_await forwarded.wait(std::max(0.01, started + kForward_s - steady_now()));
+    co_return late ? *late : own;
+}
+
 asio::awaitable<bool> Front::ask_peer(std::string name) {
     PeerCall ping;
     auto reply = co_await link_to(name)->call(std::move(ping), 1.0);
-    if (!reply) co_return false;
+    if (!reply) {
+        if (name == leader_name()) silent_token_ = leader_token();
+        co_return false;
+    }
     if (reply->token > std::max(told_token_, election_->as_of()) && !reply->body.empty()) {
         spdlog::info("node: {} says that {} leads with token={}", name, reply->body, reply->token);
         told_leader_ = reply->body;
@@ -88,7 +130,10 @@
     }
     // A leader unsure of its lease counts as heard: in an outage of the state service no other node would
     // serve better, and nodes that left the load balancer for it came back late.
-    if (name == leader_name() && reply->body == name) heard_leader_ = steady_now();
+    if (name == leader_name() && reply->body == name) {
+        heard_leader_ = steady_now();
+        silent_token_ = 0;
+    }
     co_return reply->status == 200;
 }
 
@@ -112,7 +157,7 @@
 }
 
 bool Front::healthy() const {
-    if (leader_) return true;
+    if (leader_ || door_->open()) return true;
     return steady_now() - heard_leader_ < kDeaf_s;
 }
 
@@ -153,7 +198,7 @@
         if (r.method != "POST") co_return HttpReply{405, "{}"};
         kind = "submit";
         PeerCall call{PeerOp::Submit, "", std::move(r.body)};
-        auto reply = co_await to_leader(std::move(call));
+        auto reply = co_await serve(std::move(call));
         co_return answer(std::move(reply));
     }
     if (path.size() > paths::kJobs.size() + 1 && path.substr(0, paths::kJobs.size()) == paths::kJobs &&
@@ -168,7 +213,7 @@
         kind = call.op == PeerOp::Cancel ? "cancel" : "status";
         if (r.method != (call.op == PeerOp::Cancel ? "POST" : "GET")) co_return HttpReply{405, "{}"};
         call.subject = std::move(id);
-        auto reply = co_await to_leader(std::move(call));
+        auto reply = co_await serve(std::move(call));
         co_return answer(std::move(reply));
     }
     co_return HttpReply{404, "{}"};
--- a/src/coordination/front.h
+++ b/src/coordination/front.h
@@ -6,6 +6,7 @@
 
 #include "coordination/election.h"
 #include "coordination/leader.h"
+#include "doors/door.h"
 #include "transport/http_server.h"
 #include "transport/peer_link.h"
 
@@ -27,6 +28,9 @@
     HttpReply metrics_page() const;
     boost::asio::awaitable<HttpReply> handle_report(HttpRequest request);
     boost::asio::awaitable<PeerReply> to_leader(PeerCall call);
+    boost::asio::awaitable<void> forward(PeerCall call, OneShot<PeerReply> out);
+    // What users ask for: from the leader, or from this node's own door where no leader answers.
+    boost::asio::awaitable<PeerReply> serve(PeerCall call);
     boost::asio::awaitable<void> ping_loop();
     boost::asio::awaitable<bool> ask_peer(std::string name);  // whether it says that it leads
     PeerReply who_leads() const;
@@ -49,11 +53,14 @@
     std::string told_leader_;         // what the other controllers said
     uint64_t told_token_ = 0;
     std::map<std::string, std::unique_ptr<PeerClient>> links_;
+    std::unique_ptr<Door> door_;
     std::unique_ptr<PeerServer> peers_in_;
     std::unique_ptr<HttpServer> http_;
     std::map<std::string, Relayed> relayed_;
     Metrics metrics_;
     double heard_leader_ = 0;  // when the leader last answered this node
+    uint64_t silent_token_ = 0;  // the leader with this token was asked, and did not answer, since
+    Patience patience_;
 };
 
 }  // namespace weirmill
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -48,7 +48,7 @@
     tenure_->ended = true;
     mailbox_.close();
     for (auto& [id, list] : waiters_)
-        for (auto& [op, reply] : list) reply.set(come_back());
+        for (auto& [op, reply] : list) reply.set(undecided());
     waiters_.clear();
     for (auto& [m, held] : held_) held.reply.set({421, redirect_answer("")});
     held_.clear();
@@ -56,7 +56,8 @@
 
 asio::awaitable<PeerReply> Leader::ask(PeerCall call) {
     // Half of the mailbox is kept for what comes back from outside: none of that may be lost.
-    if (!ready_ || queued_ > kMailbox / 2) co_return come_back();
+    if (!ready_) co_return undecided();
+    if (queued_ > kMailbox / 2) co_return come_back();
     Reply reply(io_.get_executor());
     bool is_report = call.op == PeerOp::Report;
     post(Asked{std::move(call), reply});
@@ -85,6 +86,12 @@
     return {503, R"({"error":"not now"})", seconds, tenure_->token};
 }
 
+PeerReply Leader::undecided() const {
+    auto reply = come_back();
+    reply.undecided = true;
+    return reply;
+}
+
 void Leader::post(Message m) {
     if (stopped_) return;
     if (mailbox_.try_send(boost::system::error_code(), std::move(m))) {
@@ -97,7 +104,7 @@
 }
 
 asio::awaitable<void> Leader::run(std::shared_ptr<Leader> self) {
-    while (!stopped_ && !co_await load()) co_await sleep_s(0.3);
+    while (!stopped_ && !(co_await load() && co_await read_inbox())) co_await sleep_s(0.3);
     if (stopped_) co_return;
     now_ = steady_now();
     // A predecessor's rentals may not be listed yet: without waiting, they would be rented again.
@@ -116,6 +123,7 @@
     tables_.spread_needs();
     asio::co_spawn(io_, tick_loop(self), asio::detached);
     asio::co_spawn(io_, list_loop(self), asio::detached);
+    asio::co_spawn(io_, inbox_loop(self), asio::detached);
     while (!stopped_) {
         auto [ec, message] = co_await mailbox_.async_receive(asio::as_tuple(asio::use_awaitable));
         if (ec) break;
@@ -187,6 +195,7 @@
 
 void Leader::handle(Tick&) {
     release_held(true);
+    collect_inbox();
     if (now_ >= next_check_) {
         next_check_ = now_ + 0.5;
         check_machines();
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -13,6 +13,7 @@
 #include "coordination/placement.h"
 #include "coordination/preemption.h"
 #include "coordination/sizing.h"
+#include "doors/records.h"
 #include "transport/http_client.h"
 #include "transport/one_shot.h"
 #include "transport/peer_link.h"
@@ -25,7 +26,8 @@
 }
 
 // One actor in several files, by what owns which state: leader_users.cpp, leader_records.cpp,
-// leader_workers.cpp (reports, held answers), leader_tasks.cpp (endings, stops), leader_fleet.cpp.
+// leader_inbox.cpp (what doors accepted), leader_workers.cpp (reports, held answers), leader_tasks.cpp (endings,
+// stops), leader_fleet.cpp.
 class Leader : public std::enable_shared_from_this<Leader> {
   public:
     Leader(boost::asio::io_context& io, const Settings& settings, const Properties& properties,
@@ -66,6 +68,10 @@
         std::vector<std::pair<std::string, FinalState>> ended;
         std::string missing;  // was never accepted, as the state service has it
         bool all = false;     // nothing is left to be read
+        bool collects = false;  // for a job that a door accepted
+    };
+    struct InboxChanged {
+        std::vector<StateEvent> events;
     };
     struct TypesRead {
         std::vector<MachineType> types;
@@ -83,8 +89,8 @@
         bool done = false;
     };
     struct Tick {};
-    using Message = std::variant<Tick, Asked, FinalRead, DependenciesRead, TxnDone, TxnUnsure, TypesRead,
-                                 ListRead, Rented, RentPassDone, Returned>;
+    using Message = std::variant<Tick, Asked, FinalRead, DependenciesRead, TxnDone, TxnUnsure, InboxChanged,
+                                 TypesRead, ListRead, Rented, RentPassDone, Returned>;
     using Mailbox = boost::asio::experimental::channel<void(boost::system::error_code, Message)>;
 
     struct Held {  // a worker's report that waits for records before it is answered
@@ -106,7 +112,10 @@
     boost::asio::awaitable<void> read_final(std::shared_ptr<Leader> self, PeerCall call, Reply reply,
                                             PeerReply refusal);
     boost::asio::awaitable<void> read_dependencies(std::shared_ptr<Leader> self, PeerCall call, Reply reply,
-                                                   std::vector<std::string> ids);
+                                                   std::vector<std::string> ids, bool collects);
+    boost::asio::awaitable<StateResult<StateItem>> read_ended(std::string id, double timeout_s);
+    boost::asio::awaitable<bool> read_inbox();
+    boost::asio::awaitable<void> inbox_loop(std::shared_ptr<Leader> self);
     boost::asio::awaitable<void> types_loop(std::shared_ptr<Leader> self);
     boost::asio::awaitable<void> list_loop(std::shared_ptr<Leader> self);
     boost::asio::awaitable<void> rent(std::shared_ptr<Leader> self, std::vector<Rental> rentals);
@@ -121,6 +130,7 @@
     void handle(DependenciesRead& m);
     void handle(TxnDone& m);
     void handle(TxnUnsure&);
+    void handle(InboxChanged& m);
     void handle(TypesRead& m);
     void handle(ListRead& m);
     void handle(Rented& m);
@@ -129,14 +139,36 @@
     void handle(Tick&);
 
     void submit(PeerCall& call, Reply& reply);
-    // What a new job waits for, as far as this leader knows; nothing: it is answered, now or later.
+    // What a new job waits for, as far as this leader knows.
     struct Dependence {
         std::vector<Index> on;
-        bool cancelled = false;  // one of them is: and so is the job
+        bool cancelled = false;           // one of them is: and so is the job
+        std::vector<std::string> unread;  // may have ended: their final states are to be read
+        bool never = false;               // a name that no job can have
+        bool unsure = false;              // whether one of them will be accepted is not known yet
     };
+    Dependence resolve(const JobSpec& spec) const;
+    // Nothing: the submission is answered, now or later.
     std::optional<Dependence> dependence(PeerCall& call, Reply& reply, const JobSpec& spec);
     void refuse_for_good(PeerCall& call, Reply& reply, const std::string& id, PeerReply refusal = kNeverRuns);
     void check_cancelled(const std::vector<Index>& jobs);
+
+    // A door's record, and what is done with it.
+    struct Inboxed {
+        uint64_t version = 0;
+        DoorRecord record;
+        enum class Step : uint8_t { Waiting, Reading, Telling, Forgetting, Broken } step = Step::Waiting;
+        double not_before = 0;
+    };
+    void take_door_record(const StateItem& item);
+    void collect_inbox();
+    void collect(const std::string& id, Inboxed& in);
+    void collect_again(const DependenciesRead& m);
+    void collect_later(const std::string& id);
+    void forget(const std::string& id);
+    void collected(const std::string& id);
+    void forgotten(const LedgerEntry& e);
+    uint64_t door_version(const std::string& id) const;
     std::optional<FinalState> final_state(const StateItem& item) const;
     void drop_new_job(Index job);
     void status(PeerCall& call, Reply& reply);
@@ -178,6 +210,7 @@
     void remember_final(const std::string& id, FinalState f);
     void answer_waiters(const std::string& id, const PeerReply& reply);
     PeerReply come_back(int seconds = 1) const;
+    PeerReply undecided() const;  // a door may serve instead
 
     boost::asio::io_context& io_;
     const Settings& settings_;
@@ -201,6 +234,8 @@
     std::map<std::string, std::vector<std::pair<PeerOp, Reply>>> waiters_;  // by job id
     std::map<Index, Held> held_;                                            // by machine
     std::map<Index, std::vector<Command>> direct_;                          // stops to send, by machine
+    std::map<std::string, Inboxed> inbox_;  // by job id
+    uint64_t inbox_revision_ = 0;
     std::unordered_map<std::string, FinalState> finals_;
     std::deque<std::string> finals_order_;
 
--- /dev/null
+++ b/src/coordination/leader_inbox.cpp
@@ -0,0 +1,184 @@
+// The leader: jobs that doors accepted while no leader answered them (doors/records.h). It collects each into the
+// log, by the same transaction that records any new job, and deletes the door's record after that.
+#include <spdlog/spdlog.h>
+
+#include <boost/asio.hpp>
+
+#include "coordination/leader.h"
+#include "protocol/user_codec.h"
+
+namespace weirmill {
+
+namespace asio = boost::asio;
+
+namespace {
+constexpr int kRecordsAPage = 200;
+constexpr size_t kCollectAtOnce = 64;  // new jobs that wait to be recorded: users' own must not wait behind more
+constexpr double kAgain_s = 0.3;       // after a refusal, whose cause the watch should tell by then
+constexpr double kMissing_s = 5;
+constexpr double kWatch_s = 10;
+}  // namespace
+
+asio::awaitable<bool> Leader::read_inbox() {
+    inbox_.clear();
+    std::string after;
+    for (bool more = true; more;) {
+        auto page = co_await state_.list(kDoorKeys, after, kRecordsAPage, 3);
+        if (stopped_ || !page) co_return false;
+        if (after.empty()) inbox_revision_ = page.value.revision;
+        more = page.value.more && !page.value.items.empty();
+        for (auto& item : page.value.items) {
+            after = item.key;
+            take_door_record(item);
+        }
+    }
+    if (!inbox_.empty()) spdlog::info("leader: {} door records to collect", inbox_.size());
+    co_return true;
+}
+
+// Each page of changes is posted, so that the records change between messages only.
+asio::awaitable<void> Leader::inbox_loop(std::shared_ptr<Leader> self) {
+    (void)self;
+    while (!stopped_) {
+        auto watched = co_await state_.watch(kDoorKeys, inbox_revision_, kWatch_s);
+        if (stopped_) co_return;
+        if (watched) {
+            inbox_revision_ = std::max(inbox_revision_, watched.value.revision);
+            if (!watched.value.events.empty()) post(InboxChanged{std::move(watched.value.events)});
+        } else if (watched.outcome == StateOutcome::Invalid) {
+            // Too old to be told on: all records are read again. What is under way with one goes on, as every
+            // transaction names the version that it read.
+            if (!co_await read_inbox()) co_await sleep_s(kAgain_s);
+        } else {
+            co_await sleep_s(kAgain_s);
+        }
+    }
+}
+
+void Leader::take_door_record(const StateItem& item) {
+    auto id = item.key.substr(kDoorKeys.size());
+    if (auto it = inbox_.find(id); it != inbox_.end() && it->second.version >= item.version) return;
+    try {
+        inbox_[id] = {item.version, parse_door_record(item.value)};
+    } catch (const BadMessage& e) {
+        // Left as it is: its user is told to come back, which is never wrong.
+        spdlog::error("leader: malformed record {}: {}", item.key, e.what());
+    }
+}
+
+void Leader::handle(InboxChanged& m) {
+    for (auto& e : m.events) {
+        auto id = e.item.key.substr(std::min(kDoorKeys.size(), e.item.key.size()));
+        if (!e.deleted)
+            take_door_record(e.item);
+        else if (auto it = inbox_.find(id); it != inbox_.end() && it->second.version < e.item.version)
+            inbox_.erase(it);
+    }
+    collect_inbox();
+}
+
+void Leader::collect_inbox() {
+    if (inbox_.empty() || !sure(now_)) return;
+    for (auto& [id, in] : inbox_) {
+        if (ledger_.submissions() >= kCollectAtOnce) return;
+        if (in.step == Inboxed::Step::Waiting && now_ >= in.not_before) collect(id, in);
+    }
+}
+
+void Leader::collect(const std::string& id, Inboxed& in) {
+    if (auto it = tables_.job_index.find(id); it != tables_.job_index.end()) {
+        auto& job = *tables_.jobs[it->second];
+        if (job.version == 0) return;  // on its way to be recorded
+        if (!in.record.cancelled || job.cancel_recorded) return forget(id);
+        // Cancelled by a door. Its record goes only once the log tells it, so that no request is lost.
+        if (!job.cancelled && !job.ending) {
+            job.cancelled = true;
+            ledger_.cancel(it->second);
+        }
+        return;
+    }
+    // What is neither alive here nor a job of its own has ended.
+    if (finals_.count(id) || !in.record.accepted()) return forget(id);
+    JobSpec spec;
+    try {
+        spec = parse_submission(in.record.job, tables_.names);
+        if (spec.team == kNone) read::bad("job.team");
+        if (spec.id != id) read::bad("job.name_id");
+    } catch (const BadMessage& e) {
+        spdlog::error("leader: malformed record {}: {}", door_key(id), e.what());
+        in.step = Inboxed::Step::Broken;
+        return;
+    }
+    auto depends = resolve(spec);
+    if (depends.unsure) return;
+    if (!depends.unread.empty()) {
+        in.step = Inboxed::Step::Reading;
+        PeerCall call{PeerOp::Submit, id, ""};
+        asio::co_spawn(io_,
+                       read_dependencies(shared_from_this(), std::move(call), Reply(io_.get_executor()),
+                                         std::move(depends.unread), true),
+                       asio::detached);
+        return;
+    }
+    bool cancelled = in.record.cancelled || depends.cancelled;
+    if (depends.on.empty() || cancelled) spec.dependencies.clear();
+    auto index = tables_.add_job(std::move(spec), in.record.at, now_);
+    auto& job = *tables_.jobs[index];
+    job.seen_at = now_ - std::max(0.0, wall_now() - in.record.at);
+    if (cancelled)
+        job.cancelled = job.cancel_recorded = true;  // in its own record
+    else if (job.waits)
+        tables_.set_dependencies(index, depends.on, now_);
+    // Doors open only where all controllers collect, so all can read a record in pieces.
+    ledger_.allow_pieces();
+    ledger_.new_job(index, in.version);
+    in.step = Inboxed::Step::Telling;
+    metrics_.count("door_jobs_collected_total");
+}
+
+// The dependencies of a door's job were read.
+void Leader::collect_again(const DependenciesRead& m) {
+    auto it = inbox_.find(m.call.subject);
+    if (it == inbox_.end() || it->second.step != Inboxed::Step::Reading) return;
+    it->second.step = Inboxed::Step::Waiting;
+    if (m.missing.empty()) {
+        if (!m.all) it->second.not_before = now_ + kAgain_s;
+        return collect_inbox();
+    }
+    // The door saw that it was accepted, so this can't be; what was accepted is never refused.
+    spdlog::error("leader: {} waits for {}, which was never accepted", m.call.subject, m.missing);
+    it->second.not_before = now_ + kMissing_s;
+}
+
+// The log, or a final state, stands for the record.
+void Leader::forget(const std::string& id) {
+    auto it = inbox_.find(id);
+    if (it == inbox_.end() || it->second.step == Inboxed::Step::Forgetting) return;
+    it->second.step = Inboxed::Step::Forgetting;
+    ledger_.forget(door_key(id), it->second.version);
+}
+
+uint64_t Leader::door_version(const std::string& id) const {
+    auto it = inbox_.find(id);
+    return it != inbox_.end() && it->second.step == Inboxed::Step::Telling ? it->second.version : 0;
+}
+
+// A job that was not recorded after all: from its door's record, should there be one, it is collected again.
+void Leader::collect_later(const std::string& id) {
+    auto it = inbox_.find(id);
+    if (it == inbox_.end() || it->second.step != Inboxed::Step::Telling) return;
+    it->second.step = Inboxed::Step::Waiting;
+    it->second.not_before = now_ + kAgain_s;
+}
+
+void Leader::collected(const std::string& id) {
+    auto it = inbox_.find(id);
+    if (it != inbox_.end() && it->second.step == Inboxed::Step::Telling) it->second.step = Inboxed::Step::Waiting;
+}
+
+void Leader::forgotten(const LedgerEntry& e) {
+    auto it = inbox_.find(e.key.substr(kDoorKeys.size()));
+    if (it != inbox_.end() && it->second.version == e.version) inbox_.erase(it);
+}
+
+}  // namespace weirmill
--- a/src/coordination/leader_records.cpp
+++ b/src/coordination/leader_records.cpp
@@ -112,6 +112,7 @@
             if (e.kind == EntryKind::NewJob) {
                 auto& job = *tables_.jobs[e.job];
                 answer_waiters(job.spec.id, job_reply(job, PeerOp::Submit, 201));
+                collected(job.spec.id);
                 spdlog::debug("job: {} class={} tasks={} accepted, waits for {}", job.spec.id,
                               tables_.names.classes.name(job.spec.job_class), job.spec.tasks,
                               tables_.dependencies().of(e.job).size());
@@ -145,6 +146,8 @@
                 }
                 check_cancelled(on);
                 spdlog::debug("job: {} {}", id, f.state == JobState::Done ? "done" : "cancelled");
+            } else if (e.kind == EntryKind::Forget) {
+                forgotten(e);
             }
         }
         release_held(false);
@@ -156,29 +159,35 @@
         tenure_->ended = true;
         return;
     }
-    std::vector<Index> again;
+    std::vector<std::pair<Index, uint64_t>> again;  // with the versions of their door records
     if (m.result.outcome == StateOutcome::Conflict) {
-        // Only a job that has ended already may stand in the way.
-        size_t explained = 0;
+        // Only a job that has ended already may stand in the way, or one that a door has accepted, or cancelled,
+        // meanwhile.
+        auto& failed = m.result.failed;
+        auto stands = [&](const std::string& key) { return std::erase(failed, key) > 0; };
         for (auto& e : m.batch.entries) {
+            if (e.kind == EntryKind::Forget && stands(e.key)) {
+                // Changed by a door, or gone: what it is now comes with the watch.
+                forgotten(e);
+                e.key.clear();
+            }
             if (e.kind != EntryKind::NewJob) continue;
             auto id = tables_.jobs[e.job]->spec.id;
-            auto& failed = m.result.failed;
-            if (std::find(failed.begin(), failed.end(), final_key(id)) == failed.end()) {
-                again.push_back(e.job);
+            bool ended = stands(final_key(id)), at_door = stands(door_key(id));
+            if (!ended && !at_door) {
+                again.emplace_back(e.job, door_version(id));
                 continue;
             }
-            ++explained;
             auto waiting = std::move(waiters_[id]);
             waiters_.erase(id);
             drop_new_job(e.job);
+            ended ? forget(id) : collect_later(id);
             for (auto& [op, reply] : waiting)
                 asio::co_spawn(io_, read_final(shared_from_this(), PeerCall{op, id, ""}, reply, kNotFound),
                                asio::detached);
         }
-        if (explained != m.result.failed.size()) {
-            spdlog::error("leader: records differ from the tables at {}: starting over",
-                          m.result.failed.front());
+        if (!failed.empty()) {
+            spdlog::error("leader: records differ from the tables at {}: starting over", failed.front());
             tenure_->ended = true;
             return;
         }
@@ -187,8 +196,10 @@
         state_failed_at_ = now_;
         for (auto& e : m.batch.entries) {
             if (e.kind == EntryKind::NewJob) {
-                answer_waiters(tables_.jobs[e.job]->spec.id, come_back());
+                auto id = tables_.jobs[e.job]->spec.id;
+                answer_waiters(id, come_back());
                 drop_new_job(e.job);
+                collect_later(id);
             } else if (e.kind == EntryKind::Cancel) {
                 answer_waiters(tables_.jobs[e.job]->spec.id, come_back());
             }
@@ -201,7 +212,7 @@
         flush_not_before_ = now_ + std::uniform_real_distribution<double>(0.2, 0.5)(random_);
     }
     ledger_.rejected(m.batch);
-    for (auto j : again) ledger_.new_job(j);
+    for (auto& [j, door] : again) ledger_.new_job(j, door);
 }
 
 }  // namespace weirmill
--- a/src/coordination/leader_users.cpp
+++ b/src/coordination/leader_users.cpp
@@ -82,13 +82,15 @@
 }
 
 void Leader::submit(PeerCall& call, Reply& reply) {
-    if (!sure(now_)) return reply.set(come_back());
+    if (!sure(now_)) return reply.set(undecided());
     JobSpec spec;
     try {
         spec = parse_submission(call.body, tables_.names);
     } catch (const BadMessage& e) {
         return reply.set({400, boost::json::serialize(boost::json::object{{"error", e.what()}})});
     }
+    // Accepted by a door: from its record, never anew.
+    if (inbox_.count(spec.id)) collect_inbox();
     if (auto* job = tables_.find_job(spec.id)) {
         if (may_tell(*job)) return reply.set(job_reply(*job, PeerOp::Submit, 200));
         if (job->version != 0 || state_down()) return reply.set(come_back());
@@ -97,28 +99,9 @@
     }
     if (auto it = finals_.find(spec.id); it != finals_.end())
         return reply.set(final_reply(spec.id, it->second, PeerOp::Submit));
+    if (inbox_.count(spec.id)) return reply.set(come_back());
     if (!tables_.types_known) return reply.set(come_back(2));
-    const char* never = nullptr;
-    if (spec.team == kNone) {
-        never = "unknown team";
-    } else {
-        bool fits = false, zone_ok = spec.zone == kNone;
-        for (Index t = 0; t < tables_.types.size(); ++t) {
-            if (!tables_.type_fits(spec, t)) continue;
-            fits = true;
-            for (auto& z : tables_.types[t].type.zones)
-                if (tables_.names.zones.find(z) == spec.zone) zone_ok = true;
-        }
-        auto all = spec.kind == JobKind::Array ? spec.need : spec.need * spec.tasks;
-        auto& limit = tables_.teams[spec.team].limit;
-        if (!fits || !zone_ok)
-            never = "a task fits no allowed machine type";
-        else if ((limit.cpu && all.cpu > limit.cpu) || (limit.gpu && all.gpu > limit.gpu))
-            never = "more than the team's limit";
-    }
-    if (never) {
-        return refuse_for_good(call, reply, spec.id);
-    }
+    if (tables_.never_runs(spec)) return refuse_for_good(call, reply, spec.id);
     // The service can't record it now: told at once.
     if (state_down() || ledger_.submissions() > 4 * settings_.state_write_rps) return reply.set(come_back());
     if (tables_.task_count + spec.tasks > tables_.max_tasks) return reply.set(come_back(10));
@@ -141,21 +124,13 @@
     ledger_.new_job(index);
 }
 
-std::optional<Leader::Dependence> Leader::dependence(PeerCall& call, Reply& reply, const JobSpec& spec) {
+Leader::Dependence Leader::resolve(const JobSpec& spec) const {
     Dependence out;
-    std::vector<std::string> unread;
     for (auto& id : spec.dependencies) {
-        // A name that no job can have was never accepted.
-        if (id == spec.id || !valid_job_id(id)) {
-            refuse_for_good(call, reply, spec.id);
-            return {};
-        }
+        out.never = out.never || id == spec.id || !valid_job_id(id);
         if (auto it = tables_.job_index.find(id); it != tables_.job_index.end()) {
             auto& job = *tables_.jobs[it->second];
-            if (job.version == 0) {  // whether it will be accepted is not known yet
-                reply.set(come_back());
-                return {};
-            }
+            out.unsure = out.unsure || job.version == 0;
             // Where its cancellation is not recorded yet, the job follows it once it is.
             if (job.cancel_recorded)
                 out.cancelled = true;
@@ -163,14 +138,30 @@
                 out.on.push_back(it->second);
         } else if (auto f = finals_.find(id); f != finals_.end()) {
             out.cancelled = out.cancelled || f->second.state == JobState::Cancelled;
+        } else if (inbox_.count(id)) {
+            out.unsure = true;  // accepted by a door, and soon collected
         } else {
-            unread.push_back(id);
+            out.unread.push_back(id);
         }
     }
-    if (unread.empty()) return out;
-    call.subject = spec.id;
-    asio::co_spawn(io_, read_dependencies(shared_from_this(), std::move(call), reply, std::move(unread)),
-                   asio::detached);
+    return out;
+}
+
+std::optional<Leader::Dependence> Leader::dependence(PeerCall& call, Reply& reply, const JobSpec& spec) {
+    auto out = resolve(spec);
+    if (out.never) {
+        refuse_for_good(call, reply, spec.id);
+    } else if (out.unsure) {
+        reply.set(come_back());
+    } else if (!out.unread.empty()) {
+        call.subject = spec.id;
+        asio::co_spawn(
+            io_,
+            read_dependencies(shared_from_this(), std::move(call), reply, std::move(out.unread), false),
+            asio::detached);
+    } else {
+        return out;
+    }
     return {};
 }
 
@@ -184,15 +175,15 @@
 // One after the other: a long list must not take the rate that renewals of the lease need. What was read is
 // remembered, so that a list too long for one call gets further with each repetition.
 asio::awaitable<void> Leader::read_dependencies(std::shared_ptr<Leader> self, PeerCall call, Reply reply,
-                                                std::vector<std::string> ids) {
-    DependenciesRead read{std::move(call), reply, {}, {}, true};
+                                                std::vector<std::string> ids, bool collects) {
+    DependenciesRead read{std::move(call), reply, {}, {}, true, collects};
     double until = steady_now() + kReadDependencies_s;
     double pause = 1 / (kReadShare * settings_.state_rps);
     for (auto& id : ids) {
         if (read.ended.size() >= kReadAtOnce) co_await sleep_s(pause);
         if (stopped_ || steady_now() > until) read.all = false;
         if (!read.all) break;
-        auto result = co_await state_.get(final_key(id), 0.6);
+        auto result = co_await read_ended(id, 0.6);
         if (result.outcome == StateOutcome::Missing) {
             read.missing = id;
             break;
@@ -208,6 +199,7 @@
 
 void Leader::handle(DependenciesRead& m) {
     for (auto& [id, f] : m.ended) remember_final(id, f);
+    if (m.collects) return collect_again(m);
     if (!sure(now_)) return m.reply.set(come_back());
     if (!m.missing.empty()) {
         // What was read is as old as the read: the job may have come, or ended, meanwhile.
@@ -220,22 +212,24 @@
 
 void Leader::status(PeerCall& call, Reply& reply) {
     if (!valid_job_id(call.subject)) return reply.set({404, "{}"});
-    if (!sure(now_)) return reply.set(come_back());
+    if (!sure(now_)) return reply.set(undecided());
     if (auto* job = tables_.find_job(call.subject)) {
         return reply.set(may_tell(*job) ? job_reply(*job, PeerOp::Status, 200) : come_back());
     }
     if (auto it = finals_.find(call.subject); it != finals_.end())
         return reply.set(final_reply(call.subject, it->second, PeerOp::Status));
+    if (inbox_.count(call.subject)) return reply.set(come_back());  // soon collected
     asio::co_spawn(io_, read_final(shared_from_this(), std::move(call), reply, kNotFound), asio::detached);
 }
 
 void Leader::cancel(PeerCall& call, Reply& reply) {
     if (!valid_job_id(call.subject)) return reply.set({404, "{}"});
-    if (!sure(now_)) return reply.set(come_back());
+    if (!sure(now_)) return reply.set(undecided());
     auto it = tables_.job_index.find(call.subject);
     if (it == tables_.job_index.end()) {
         if (auto f = finals_.find(call.subject); f != finals_.end())
             return reply.set(final_reply(call.subject, f->second, PeerOp::Cancel));
+        if (inbox_.count(call.subject)) return reply.set(come_back());
         asio::co_spawn(io_, read_final(shared_from_this(), std::move(call), reply, kNotFound),
                        asio::detached);
         return;
@@ -260,9 +254,21 @@
     }
 }
 
+// The final state of a job that is not in the tables. A door's record is read first, as jobs move from there to the
+// log and on: while it stands, a missing final state says nothing.
+asio::awaitable<StateResult<StateItem>> Leader::read_ended(std::string id, double timeout_s) {
+    auto door = co_await state_.get(door_key(id), timeout_s);
+    StateResult<StateItem> result;
+    if (door.outcome != StateOutcome::Missing && !door) co_return result;
+    result = co_await state_.get(final_key(id), timeout_s);
+    if (door && result.outcome == StateOutcome::Missing) result.outcome = StateOutcome::Unknown;
+    co_return result;
+}
+
 asio::awaitable<void> Leader::read_final(std::shared_ptr<Leader> self, PeerCall call, Reply reply,
                                          PeerReply refusal) {
-    auto result = co_await state_.get(final_key(call.subject), 1.2);
+    std::string id = call.subject;
+    auto result = co_await read_ended(id, 0.8);
     self->post(FinalRead{std::move(call), reply, std::move(result), std::move(refusal)});
 }
 
--- /dev/null
+++ b/src/doors/door.cpp
@@ -0,0 +1,321 @@
+#include "doors/door.h"
+
+#include <spdlog/spdlog.h>
+
+#include <boost/asio.hpp>
+
+#include "protocol/cloud_codec.h"
+#include "protocol/user_codec.h"
+
+namespace weirmill {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr int kSegmentsAPage = 50;
+constexpr double kWarm_s = 2;       // between passes over the log that nobody asked for
+constexpr double kMarks_s = 10;     // between looks at the other controllers' marks and the machine types
+constexpr double kQuiet_s = 6;      // the state service counts as out of reach after this long without an answer
+constexpr double kFresh_s = 1.2;    // for one shared pass
+constexpr double kRead_s = 0.8;     // for one key
+constexpr double kWrite_s = 1.0;
+constexpr double kCancelled_s = 2;  // for the leader to carry a cancellation out
+constexpr double kLook_s = 0.3;
+// Shares of the state service's rates; the rest is the leader's, who may be at work although this node can't hear it.
+constexpr double kReadShare = 0.2, kWriteShare = 0.25;
+constexpr size_t kDependenciesRead = 8;  // not alive, of one submission
+constexpr size_t kRecordSpare = 200;     // of a value's limit: the log's entry is longer than the door's record
+
+PeerReply come_back(int seconds = 1) { return {503, R"({"error":"not now"})", seconds, 0}; }
+
+}  // namespace
+
+Door::Door(asio::io_context& io, const Settings& settings, const Properties& properties, StateClient& state,
+           Metrics& metrics, std::function<bool()> resting)
+    : io_(io),
+      settings_(settings),
+      properties_(properties),
+      state_(state),
+      metrics_(metrics),
+      resting_(std::move(resting)),
+      tables_(settings),
+      reads_(settings.state_rps * kReadShare, 2.0),
+      writes_(settings.state_write_rps * kWriteShare, 2.0) {
+    asio::co_spawn(io_, mark_loop(), asio::detached);
+    if (properties_.doors_enabled) asio::co_spawn(io_, warm_loop(), asio::detached);
+}
+
+bool Door::open() const {
+    return properties_.doors_enabled && collect_ && whole_ && tables_.types_known &&
+           steady_now() - heard_at_ < kQuiet_s;
+}
+
+template <class T>
+bool Door::heard(const StateResult<T>& result) {
+    bool answered = result || result.outcome == StateOutcome::Missing || result.outcome == StateOutcome::Conflict;
+    if (answered) heard_at_ = steady_now();
+    return answered;
+}
+
+// The mark is written even where doors are closed here: this controller collects what others' doors took.
+asio::awaitable<void> Door::mark_loop() {
+    for (bool marked = false;;) {
+        if (!marked) {
+            auto mark = door_mark(settings_.name);
+            auto result = co_await state_.txn(std::move(mark), kWrite_s);
+            marked = result || result.outcome == StateOutcome::Conflict;
+        }
+        if (marked && !properties_.doors_enabled) co_return;
+        if (marked) {
+            auto marks = co_await state_.list(kMarkKeys, "", 1000, kRead_s);
+            if (marks) {
+                bool collect = all_collect(settings_, marks.value);
+                if (collect != collect_)
+                    spdlog::info("door: {}", collect ? "every controller collects" : "closed, not every controller collects");
+                collect_ = collect;
+            }
+            auto types = co_await state_.get(kTypesKey, kRead_s);
+            try {
+                if (types) tables_.set_types(parse_machine_types(json::serialize(types.value.value)));
+            } catch (const BadMessage& e) {
+                spdlog::error("door: malformed record {}: {}", kTypesKey, e.what());
+            }
+        }
+        co_await sleep_s(marked && collect_ && tables_.types_known ? kMarks_s : 1.0);
+    }
+}
+
+asio::awaitable<void> Door::warm_loop() {
+    for (;;) {
+        if (!resting_()) (void)co_await fresh();
+        co_await sleep_s(kWarm_s);
+    }
+}
+
+asio::awaitable<bool> Door::fresh() {
+    OneShot<bool> over(io_.get_executor());
+    waiting_.emplace_back(passes_ + 1, over);
+    if (!passing_) {
+        passing_ = true;
+        asio::co_spawn(io_, pass_loop(), asio::detached);
+    }
+    auto ok = co_await over.wait(kFresh_s);
+    co_return ok && *ok;
+}
+
+asio::awaitable<void> Door::pass_loop() {
+    while (!waiting_.empty()) {
+        auto number = ++passes_;
+        bool ok = co_await pass();
+        // Those that came during the pass wait for the next one.
+        while (!waiting_.empty() && waiting_.front().first <= number) {
+            waiting_.front().second.set(ok);
+            waiting_.pop_front();
+        }
+    }
+    passing_ = false;
+}
+
+// Reads the log forward to what was recorded when the pass began, or more.
+asio::awaitable<bool> Door::pass() {
+    for (int tries = 0; tries < 2; ++tries) {
+        std::string after = view_.after();
+        bool begins = true, in_order = true;
+        for (bool more = true; more && in_order;) {
+            if (reads_.available(steady_now()) < 1) co_return false;
+            reads_.take(1);
+            auto page = co_await state_.list(kSegments, after, kSegmentsAPage, kRead_s);
+            if (!heard(page) || !page) co_return false;
+            try {
+                in_order = view_.take(page.value, begins);
+            } catch (const BadMessage& e) {
+                spdlog::error("door: malformed record after {}: {}", after, e.what());
+                view_.clear();
+                whole_ = false;
+                co_return false;
+            }
+            begins = false;
+            more = page.value.more && !page.value.items.empty();
+            if (more) after = page.value.items.back().key;
+        }
+        if (in_order) {
+            whole_ = true;
+            co_return true;
+        }
+        view_.clear();
+        whole_ = false;
+    }
+    co_return false;
+}
+
+Door::Look Door::in_log(const std::string& id) const {
+    Look out;
+    Seen seen;
+    seen.live = view_.find(id);
+    if (seen.live) {
+        seen.live_cancelled = view_.cancelled(id);
+        out.standing = standing(seen);
+    }
+    return out;
+}
+
+// Nothing: not known now. The door's record is read where the log does not hold the job, or always.
+asio::awaitable<std::optional<Door::Look>> Door::look(std::string id, bool record_too) {
+    if (!record_too) {
+        if (!co_await fresh()) co_return std::nullopt;
+        auto live = in_log(id);
+        if (live.standing.at == Standing::At::Log) co_return live;
+    }
+    if (reads_.available(steady_now()) < 2) co_return std::nullopt;
+    reads_.take(1);
+    Look out;
+    Seen seen;
+    auto door = co_await state_.get(door_key(id), kRead_s);
+    if (!heard(door)) co_return std::nullopt;
+    if (door) {
+        try {
+            seen.door = parse_door_record(door.value.value);
+        } catch (const BadMessage& e) {
+            spdlog::error("door: malformed record {}: {}", door_key(id), e.what());
+            co_return std::nullopt;
+        }
+        out.record = seen.door;
+        out.version = door.value.version;
+    }
+    if (!co_await fresh()) co_return std::nullopt;
+    auto live = in_log(id);
+    if (live.standing.at == Standing::At::Log) {
+        out.standing = live.standing;
+        co_return out;
+    }
+    reads_.take(1);
+    auto ended = co_await state_.get(final_key(id), kRead_s);
+    if (!heard(ended)) co_return std::nullopt;
+    try {
+        if (ended) seen.ended = parse_final(ended.value.value);
+    } catch (const BadMessage& e) {
+        spdlog::error("door: malformed record {}: {}", final_key(id), e.what());
+        co_return std::nullopt;
+    }
+    out.standing = standing(seen);
+    co_return out;
+}
+
+asio::awaitable<PeerReply> Door::serve(PeerCall call) {
+    bool named = call.op != PeerOp::Submit;
+    if (named && !valid_job_id(call.subject)) co_return PeerReply{404, "{}"};
+    PeerReply reply;
+    if (call.op == PeerOp::Submit) {
+        reply = co_await submit(std::move(call.body));
+    } else if (call.op == PeerOp::Cancel) {
+        reply = co_await cancel(std::move(call.subject));
+    } else {
+        std::string id = call.subject;
+        auto seen = co_await look(std::move(call.subject), false);
+        reply = seen ? door_reply(id, seen->standing, PeerOp::Status) : come_back();
+    }
+    metrics_.count(reply.status == 503 ? "door_refusals_total" : "door_answers_total");
+    co_return reply;
+}
+
+bool Door::may_write(double now) {
+    if (writes_.available(now) < 1) return false;
+    writes_.take(1);
+    return true;
+}
+
+// Refused for good, unless it was accepted at another time.
+asio::awaitable<PeerReply> Door::refuse(std::string id, PeerReply refusal) {
+    auto seen = co_await look(id, false);
+    if (!seen) co_return come_back();
+    if (seen->standing.at == Standing::At::Nowhere) co_return refusal;
+    co_return door_reply(id, seen->standing, PeerOp::Submit);
+}
+
+asio::awaitable<PeerReply> Door::submit(std::string body) {
+    JobSpec spec;
+    try {
+        spec = parse_submission(body, tables_.names);
+    } catch (const BadMessage& e) {
+        co_return PeerReply{400, json::serialize(json::object{{"error", e.what()}})};
+    }
+    PeerReply never{422, R"({"error":"can never run"})"};
+    if (tables_.never_runs(spec)) co_return co_await refuse(spec.id, std::move(never));
+    DoorRecord record{submission_json(spec, tables_.names), wall_now(), false};
+    size_t read = 0;
+    if (!spec.dependencies.empty() && !co_await fresh()) co_return come_back();
+    for (auto& d : spec.dependencies) {
+        if (d == spec.id || !valid_job_id(d)) co_return co_await refuse(spec.id, std::move(never));
+        auto live = std::make_optional(in_log(d));
+        if (live->standing.at != Standing::At::Log) {
+            if (++read > kDependenciesRead) co_return come_back();
+            live = co_await look(d, false);
+        }
+        if (!live || live->standing.at == Standing::At::Unclear) co_return come_back();
+        if (live->standing.at == Standing::At::Nowhere) co_return co_await refuse(spec.id, std::move(never));
+        // A job that names a cancelled one is accepted, and cancelled with it.
+        if (live->standing.state == JobState::Cancelled) record.cancelled = true;
+    }
+    // A longer one is told in pieces by the leader; this door has one value for it.
+    if (door_record(record).size() + kRecordSpare > settings_.value_kb * 1024) co_return come_back();
+    if (view_.tasks() + spec.tasks > tables_.max_tasks) co_return come_back(10);
+    if (!may_write(steady_now())) co_return come_back();
+    auto moment = view_.moment();
+    auto txn = door_accept(spec.id, record);
+    auto result = co_await state_.txn(std::move(txn), kWrite_s);
+    if (result.outcome == StateOutcome::Conflict) {
+        heard(result);
+        auto seen = co_await look(spec.id, false);
+        // Nowhere: what stood in the way is gone already.
+        if (!seen || seen->standing.at == Standing::At::Nowhere) co_return come_back();
+        co_return door_reply(spec.id, seen->standing, PeerOp::Submit);
+    }
+    if (result.too_fast) writes_.too_fast();
+    if (!heard(result)) co_return come_back();
+    // It may have been accepted, and even cancelled, by a leader before: then the log tells, up to now at least.
+    if (!co_await fresh()) co_return come_back();
+    auto live = in_log(spec.id);
+    if (live.standing.at == Standing::At::Log) co_return door_reply(spec.id, live.standing, PeerOp::Submit);
+    if (view_.may_have_ended(spec.id, moment)) co_return come_back();
+    metrics_.count("door_jobs_accepted_total");
+    spdlog::debug("door: {} accepted", spec.id);
+    co_return PeerReply{201, job_answer(spec.id, record.cancelled ? JobState::Cancelled : JobState::Queued)};
+}
+
+asio::awaitable<PeerReply> Door::cancel(std::string id) {
+    auto seen = co_await look(id, true);
+    if (!seen) co_return come_back();
+    auto& s = seen->standing;
+    bool open = s.state == JobState::Queued || s.state == JobState::Running;
+    if (s.at == Standing::At::Nowhere || s.at == Standing::At::Unclear || !open)
+        co_return door_reply(id, s, PeerOp::Cancel);
+    // In the log, the leader alone can cancel it: a request is left for it. A job that no leader has collected is
+    // cancelled by its door's record.
+    bool requested = seen->record && seen->record->cancelled;
+    if (!requested) {
+        if (!may_write(steady_now())) co_return come_back();
+        auto txn = door_cancel(id, seen->version, seen->record.value_or(DoorRecord{}));
+        auto result = co_await state_.txn(std::move(txn), kWrite_s);
+        if (result.too_fast) writes_.too_fast();
+        if (!heard(result) || !result) co_return come_back();
+        metrics_.count("door_cancellations_total");
+    }
+    // A leader may have collected it before, and even ended it since: looked at again, from the first place on.
+    co_return co_await until_cancelled(std::move(id));
+}
+
+// A cancellation, or a request for one, is recorded; told is what is made of it.
+asio::awaitable<PeerReply> Door::until_cancelled(std::string id) {
+    for (double until = steady_now() + kCancelled_s; steady_now() < until;) {
+        auto seen = co_await look(id, false);
+        if (!seen) break;
+        auto reply = door_reply(id, seen->standing, PeerOp::Cancel);
+        if (reply.status == 200) co_return reply;
+        co_await sleep_s(kLook_s);
+    }
+    co_return come_back();
+}
+
+}  // namespace weirmill
--- /dev/null
+++ b/src/doors/door.h
@@ -0,0 +1,66 @@
+// The door: serves users through the state service while no leader answers this controller. An actor of its own; it
+// owns its copy of the log, and the rate at which it reads and writes. docs/design-doors.md has the argument why
+// that is safe beside any leader, and docs/operations.md, "When nobody leads", what operators see.
+#pragma once
+#include <deque>
+#include <functional>
+
+#include "bookkeeping/metrics.h"
+#include "bookkeeping/state_client.h"
+#include "bookkeeping/tables.h"
+#include "doors/decide.h"
+#include "transport/one_shot.h"
+
+namespace weirmill {
+
+class Door {
+  public:
+    // `resting`: whether this node leads, and so needs no copy of the log.
+    Door(boost::asio::io_context& io, const Settings& settings, const Properties& properties, StateClient& state,
+         Metrics& metrics, std::function<bool()> resting);
+
+    // It can serve: every controller collects, the copy of the log is whole, and the state service answered lately.
+    bool open() const;
+    // Submit, Status and Cancel. 503 with when to come back whenever the state service does not tell enough.
+    boost::asio::awaitable<PeerReply> serve(PeerCall call);
+
+  private:
+    struct Look {
+        Standing standing;
+        std::optional<DoorRecord> record;
+        uint64_t version = 0;  // of the record; 0: none
+    };
+    boost::asio::awaitable<void> mark_loop();
+    boost::asio::awaitable<void> warm_loop();
+    boost::asio::awaitable<void> pass_loop();
+    boost::asio::awaitable<bool> pass();
+    boost::asio::awaitable<bool> fresh();
+    boost::asio::awaitable<std::optional<Look>> look(std::string id, bool record_too);
+    boost::asio::awaitable<PeerReply> submit(std::string body);
+    boost::asio::awaitable<PeerReply> refuse(std::string id, PeerReply refusal);
+    boost::asio::awaitable<PeerReply> cancel(std::string id);
+    boost::asio::awaitable<PeerReply> until_cancelled(std::string id);
+    Look in_log(const std::string& id) const;
+    bool may_write(double now);
+    template <class T>
+    bool heard(const StateResult<T>& result);
+
+    boost::asio::io_context& io_;
+    const Settings& settings_;
+    const Properties& properties_;
+    StateClient& state_;
+    Metrics& metrics_;
+    std::function<bool()> resting_;
+    Tables tables_;  // names, teams, machine types and limits only
+    LogView view_;
+    bool whole_ = false;    // the view
+    bool collect_ = false;  // every controller collects
+    double heard_at_ = -1e9;
+    RateBudget reads_, writes_;
+    // Passes over the log are shared: who asks waits for the first that begins after that.
+    bool passing_ = false;
+    uint64_t passes_ = 0;
+    std::deque<std::pair<uint64_t, OneShot<bool>>> waiting_;
+};
+
+}  // namespace weirmill
--- /dev/null
+++ b/src/doors/log_view.cpp
@@ -0,0 +1,166 @@
+#include "doors/log_view.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "bookkeeping/ledger.h"
+
+namespace weirmill {
+
+namespace json = boost::json;
+
+namespace {
+constexpr size_t kMostEnded = 4096;
+}
+
+void LogView::clear() {
+    auto moment = this->moment();
+    *this = LogView();
+    first_ended_ = moment + 1;  // what ends until it is read anew can't be told
+}
+
+std::string LogView::after() const { return open_ > 0 ? segment_key(open_ - 1) : ""; }
+
+bool LogView::take(const StatePage& page, bool begins) {
+    if (begins && open_ > 0 && (page.items.empty() || page.items[0].key != segment_key(open_))) return false;
+    for (auto& item : page.items) {
+        uint64_t number = 0;
+        auto* begin = item.key.data() + std::min(kSegments.size(), item.key.size());
+        auto* last = item.key.data() + item.key.size();
+        auto [stop, ec] = std::from_chars(begin, last, number);
+        if (ec != std::errc() || stop != last || number == 0) read::bad("key");
+        if (!item.value.is_array()) read::bad("segment");
+        auto& entries = item.value.get_array();
+        if (open_ == 0 || number == open_ + 1) {
+            open_read_ = 0;
+        } else if (number != open_ || entries.size() < open_read_) {
+            return false;
+        }
+        open_ = number;
+        for (; open_read_ < entries.size(); ++open_read_) {
+            auto& e = entries[open_read_];
+            if (!e.is_array() || e.get_array().size() < 2 || !e.get_array()[0].is_string()) read::bad("entry");
+            entry(e.get_array());
+        }
+    }
+    return true;
+}
+
+const LogView::Job* LogView::find(const std::string& id) const {
+    auto it = jobs_.find(id);
+    return it == jobs_.end() ? nullptr : &it->second;
+}
+
+bool LogView::cancelled(const std::string& id) const {
+    std::vector<const std::string*> left{&id};
+    std::unordered_set<std::string> seen{id};
+    while (!left.empty()) {
+        auto* job = find(*left.back());
+        left.pop_back();
+        if (!job) continue;  // ended as done: a cancelled one leaves the log after its dependants' own entries
+        if (job->cancelled) return true;
+        for (auto& d : job->awaits)
+            if (seen.insert(d).second) left.push_back(&d);
+    }
+    return false;
+}
+
+bool LogView::may_have_ended(const std::string& id, uint64_t since) const {
+    if (since < first_ended_) return true;
+    return std::find(ended_.begin() + static_cast<long>(since - first_ended_), ended_.end(), id) != ended_.end();
+}
+
+void LogView::end(const std::string& id) {
+    ended_.push_back(id);
+    if (ended_.size() > kMostEnded) {
+        ended_.pop_front();
+        ++first_ended_;
+    }
+    auto it = jobs_.find(id);
+    if (it == jobs_.end()) return;
+    tasks_ -= it->second.tasks.size();
+    jobs_.erase(it);
+}
+
+// The entries are those of bookkeeping/ledger.cpp.
+void LogView::entry(const json::array& e) {
+    std::string_view tag = e[0].get_string();
+    if (tag == "j") {
+        auto& o = read::object(e[1]);
+        if (!read::field(o, "pieces")) {
+            auto* body = read::field(o, "job");
+            if (!body) read::bad("job");
+            return add_job(o, *body);
+        }
+        auto found = pieces_.find(read::text(o, "id"));
+        if (found == pieces_.end()) return;
+        auto pieces = std::move(found->second);
+        pieces_.erase(found);
+        // Its first pieces stood in a segment that is gone by now: it has ended, or is told anew.
+        if (pieces.next == read::count(o, "pieces")) add_job(o, read::parse(pieces.body));
+        return;
+    }
+    if (!e[1].is_string()) read::bad("entry");
+    std::string id(e[1].get_string());
+    if (tag == "p") {
+        if (e.size() < 4 || !e[2].is_number() || !e[3].is_string()) read::bad("piece");
+        auto n = e[2].to_number<uint64_t>();
+        auto& pieces = pieces_[id];
+        if (n == 0) pieces = {};
+        if (pieces.next != n) return;
+        pieces.body += e[3].get_string();
+        ++pieces.next;
+        return;
+    }
+    if (tag == "e") return end(id);
+    auto it = jobs_.find(id);
+    if (tag == "c") {
+        if (it != jobs_.end()) it->second.cancelled = true;
+    } else if (tag == "t") {
+        if (it != jobs_.end()) add_rows(it->second, e);
+    } else {
+        read::bad("entry");
+    }
+}
+
+void LogView::add_job(const json::object& record, const json::value& body) {
+    auto& o = read::object(body);
+    auto id = read::text(o, "name_id");
+    auto tasks = read::count(o, "lots");
+    if (tasks < 1 || tasks > kMaxTasks) read::bad("lots");
+    auto& job = jobs_[id];
+    job.cancelled = job.cancelled || read::flag(record, "cancelled", false);
+    job.awaits.clear();  // told anew, it may wait for less
+    if (read::field(o, "awaits"))
+        for (auto& d : read::array(o, "awaits"))
+            if (d.is_string()) job.awaits.emplace_back(d.get_string());
+    if (!job.tasks.empty()) return;
+    job.tasks.resize(tasks, static_cast<uint8_t>(TaskState::Pending));
+    tasks_ += tasks;
+}
+
+void LogView::add_rows(Job& job, const json::array& e) {
+    auto set = [&](uint64_t t, TaskState state) {
+        auto was = static_cast<TaskState>(job.tasks[t]);
+        job.done += (state == TaskState::Done) - (was == TaskState::Done);
+        job.placed += (state == TaskState::Placed) - (was == TaskState::Placed);
+        job.tasks[t] = static_cast<uint8_t>(state);
+    };
+    for (size_t i = 2; i < e.size(); ++i) {
+        if (!e[i].is_array() || e[i].get_array().size() < 2) read::bad("row");
+        auto& row = e[i].get_array();
+        boost::system::error_code bad, bad_last;
+        auto first = row[0].to_number<uint64_t>(bad);
+        auto last = row[1].to_number<uint64_t>(bad_last);
+        bool done = row.size() == 3 && row[2].is_string();
+        if (bad || bad_last || first >= job.tasks.size()) read::bad("row");
+        if (!done) {
+            set(first, row.size() == 4 ? TaskState::Placed : TaskState::Pending);
+            continue;
+        }
+        if (last < first || last >= job.tasks.size()) read::bad("row");
+        for (auto t = first; t <= last; ++t) set(t, TaskState::Done);
+    }
+}
+
+}  // namespace weirmill
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -31,4 +31,5 @@
   body @1 :Data;
   retryAfterS @2 :UInt16;
   token @3 :UInt64;
+  undecided @4 :Bool;  # the callee does not lead, or not yet, or is unsure of it: another door may serve
 }
--- a/src/protocol/state_codec.cpp
+++ b/src/protocol/state_codec.cpp
@@ -55,7 +55,17 @@
 StateWatch parse_watch(std::string_view body) {
     auto v = read::parse(body);
     auto& o = read::object(v);
-    return {read::count(o, "ledger"), read::array(o, "events").size()};
+    StateWatch watch{read::count(o, "ledger"), {}};
+    for (auto& e : read::array(o, "events")) {
+        auto& event = read::object(e);
+        auto* value = event.if_contains("value");
+        bool deleted = read::field(event, "drop") != nullptr;
+        if (!deleted && !value) read::bad("value");
+        watch.events.push_back({{read::text(event, deleted ? "drop" : "write"), deleted ? nullptr : *value,
+                                 read::count(event, "stamp"), 0},
+                                deleted});
+    }
+    return watch;
 }
 
 std::string txn_json(const StateTxn& txn) {
--- a/src/protocol/state_codec.h
+++ b/src/protocol/state_codec.h
@@ -41,9 +41,13 @@
 uint64_t parse_revision(std::string_view body);
 std::vector<std::string> parse_failed(std::string_view body);
 uint64_t parse_lease(std::string_view body);
+struct StateEvent {
+    StateItem item;  // the value is null where the key was deleted; no lease is told
+    bool deleted = false;
+};
 struct StateWatch {
     uint64_t revision = 0;
-    size_t events = 0;
+    std::vector<StateEvent> events;
 };
 StateWatch parse_watch(std::string_view body);
 std::string txn_json(const StateTxn& txn);
--- a/src/protocol/user_codec.cpp
+++ b/src/protocol/user_codec.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr uint32_t kMaxTasks = 100000;
 constexpr size_t kMaxTypes = 64;
 
 struct KindName {
--- a/src/protocol/user_codec.h
+++ b/src/protocol/user_codec.h
@@ -8,6 +8,8 @@
 
 namespace weirmill {
 
+inline constexpr uint32_t kMaxTasks = 100000;  // of one job
+
 bool valid_job_id(std::string_view id);
 
 // Reads a submission; throws BadMessage. Names are interned in `names`; an unknown team stays kNone.
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -60,6 +60,7 @@
     double idle_keep_boots = 0.3;
     double scheduling_pause_s = 0.1;
     double quarantine_s = 120.0;
+    bool doors_enabled = false;
 };
 
 Settings load_settings(const std::string& path);
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -133,6 +133,7 @@
                     r.setBody(data_of(reply.body));
                     r.setRetryAfterS(static_cast<uint16_t>(reply.retry_after_s));
                     r.setToken(reply.token);
+                    r.setUndecided(reply.undecided);
                     to->send(frame_text(message));
                 }(handler_, wire->shared_from_this(), frame.getSeq(), std::move(call)),
                 asio::detached);
@@ -179,7 +180,8 @@
                                                if (it == link->waiting.end()) return;
                                                auto in = frame.getReply();
                                                it->second.set(PeerReply{in.getStatus(), text_of(in.getBody()),
-                                                                        in.getRetryAfterS(), in.getToken()});
+                                                                        in.getRetryAfterS(), in.getToken(),
+                                                                        in.getUndecided()});
                                            }),
                            asio::detached);
             link_ = link;
--- a/src/transport/peer_link.h
+++ b/src/transport/peer_link.h
@@ -24,6 +24,7 @@
     std::string body;
     int retry_after_s = 0;
     uint64_t token = 0;
+    bool undecided = false;  // who answered does not lead, or not yet, or is unsure of it
 };
 
 using PeerHandler = std::function<boost::asio::awaitable<PeerReply>(PeerCall)>;
