Tests: the doors' decisions, their copy of the log, and the leader's transactions as the model has them

Need: what the model check takes for granted must be held to the real ledger; decisions want tables of cases. Change: tables for standing, answers, marks and patience; random histories in which one copy of the log reads all the time and one misses whole segments; gaps; 300 records within the limits of a transaction.

--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -285,7 +285,8 @@
 // A job whose record takes several entries lets those behind it go first: it takes a few transactions.
 void Ledger::tell_new_jobs(Staged& s, LedgerBatch& b) {
     for (auto it = new_jobs_.begin(); it != new_jobs_.end();) {
-        // A condition for each change, for the leadership and for the head; the rest is for new jobs, two each.
+        // A condition for each change, for the leadership and for the head; the rest is for new jobs, two
+        // each.
         if (2 * b.bases.size() + 4 > 3 * static_cast<size_t>(txn_ops_)) return;
         Index index = *it;
         auto& job = *tables_.jobs[index];
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -79,7 +79,8 @@
         new_jobs_.push_back(job);
         if (door != 0) doors_[job] = door;
     }
-    // A door record that the log, or a final state, stands for by now: deleted when there are changes to spare.
+    // A door record that the log, or a final state, stands for by now: deleted when there are changes to
+    // spare.
     void forget(const std::string& key, uint64_t version) { forgets_.emplace_back(key, version); }
     // All controllers can read records in pieces.
     void allow_pieces() { pipelines_ = true; }
--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -103,7 +103,8 @@
     }
     bool silent = !leader_link() || (silent_token_ != 0 && silent_token_ == leader_token());
     if (silent) co_return co_await door_->serve(std::move(again));
-    // The leader goes on while the door begins: what both take is one job, as their records exclude each other.
+    // The leader goes on while the door begins: what both take is one job, as their records exclude each
+    // other.
     bool submits = call.op == PeerOp::Submit;
     double started = steady_now();
     OneShot<PeerReply> forwarded(io_.get_executor());
--- a/src/coordination/front.h
+++ b/src/coordination/front.h
@@ -58,7 +58,7 @@
     std::unique_ptr<HttpServer> http_;
     std::map<std::string, Relayed> relayed_;
     Metrics metrics_;
-    double heard_leader_ = 0;  // when the leader last answered this node
+    double heard_leader_ = 0;    // when the leader last answered this node
     uint64_t silent_token_ = 0;  // the leader with this token was asked, and did not answer, since
     Patience patience_;
 };
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -26,8 +26,8 @@
 }
 
 // One actor in several files, by what owns which state: leader_users.cpp, leader_records.cpp,
-// leader_inbox.cpp (what doors accepted), leader_workers.cpp (reports, held answers), leader_tasks.cpp (endings,
-// stops), leader_fleet.cpp.
+// leader_inbox.cpp (what doors accepted), leader_workers.cpp (reports, held answers), leader_tasks.cpp
+// (endings, stops), leader_fleet.cpp.
 class Leader : public std::enable_shared_from_this<Leader> {
   public:
     Leader(boost::asio::io_context& io, const Settings& settings, const Properties& properties,
@@ -66,8 +66,8 @@
         PeerCall call;
         Reply reply;
         std::vector<std::pair<std::string, FinalState>> ended;
-        std::string missing;  // was never accepted, as the state service has it
-        bool all = false;     // nothing is left to be read
+        std::string missing;    // was never accepted, as the state service has it
+        bool all = false;       // nothing is left to be read
         bool collects = false;  // for a job that a door accepted
     };
     struct InboxChanged {
@@ -234,7 +234,7 @@
     std::map<std::string, std::vector<std::pair<PeerOp, Reply>>> waiters_;  // by job id
     std::map<Index, Held> held_;                                            // by machine
     std::map<Index, std::vector<Command>> direct_;                          // stops to send, by machine
-    std::map<std::string, Inboxed> inbox_;  // by job id
+    std::map<std::string, Inboxed> inbox_;                                  // by job id
     uint64_t inbox_revision_ = 0;
     std::unordered_map<std::string, FinalState> finals_;
     std::deque<std::string> finals_order_;
--- a/src/coordination/leader_inbox.cpp
+++ b/src/coordination/leader_inbox.cpp
@@ -1,5 +1,5 @@
-// The leader: jobs that doors accepted while no leader answered them (doors/records.h). It collects each into the
-// log, by the same transaction that records any new job, and deletes the door's record after that.
+// The leader: jobs that doors accepted while no leader answered them (doors/records.h). It collects each into
+// the log, by the same transaction that records any new job, and deletes the door's record after that.
 #include <spdlog/spdlog.h>
 
 #include <boost/asio.hpp>
@@ -13,8 +13,9 @@
 
 namespace {
 constexpr int kRecordsAPage = 200;
-constexpr size_t kCollectAtOnce = 64;  // new jobs that wait to be recorded: users' own must not wait behind more
-constexpr double kAgain_s = 0.3;       // after a refusal, whose cause the watch should tell by then
+constexpr size_t kCollectAtOnce =
+    64;                           // new jobs that wait to be recorded: users' own must not wait behind more
+constexpr double kAgain_s = 0.3;  // after a refusal, whose cause the watch should tell by then
 constexpr double kMissing_s = 5;
 constexpr double kWatch_s = 10;
 }  // namespace
@@ -173,7 +174,8 @@
 
 void Leader::collected(const std::string& id) {
     auto it = inbox_.find(id);
-    if (it != inbox_.end() && it->second.step == Inboxed::Step::Telling) it->second.step = Inboxed::Step::Waiting;
+    if (it != inbox_.end() && it->second.step == Inboxed::Step::Telling)
+        it->second.step = Inboxed::Step::Waiting;
 }
 
 void Leader::forgotten(const LedgerEntry& e) {
--- a/src/coordination/leader_records.cpp
+++ b/src/coordination/leader_records.cpp
@@ -161,8 +161,8 @@
     }
     std::vector<std::pair<Index, uint64_t>> again;  // with the versions of their door records
     if (m.result.outcome == StateOutcome::Conflict) {
-        // Only a job that has ended already may stand in the way, or one that a door has accepted, or cancelled,
-        // meanwhile.
+        // Only a job that has ended already may stand in the way, or one that a door has accepted, or
+        // cancelled, meanwhile.
         auto& failed = m.result.failed;
         auto stands = [&](const std::string& key) { return std::erase(failed, key) > 0; };
         for (auto& e : m.batch.entries) {
--- a/src/coordination/leader_users.cpp
+++ b/src/coordination/leader_users.cpp
@@ -156,8 +156,7 @@
     } else if (!out.unread.empty()) {
         call.subject = spec.id;
         asio::co_spawn(
-            io_,
-            read_dependencies(shared_from_this(), std::move(call), reply, std::move(out.unread), false),
+            io_, read_dependencies(shared_from_this(), std::move(call), reply, std::move(out.unread), false),
             asio::detached);
     } else {
         return out;
@@ -254,8 +253,8 @@
     }
 }
 
-// The final state of a job that is not in the tables. A door's record is read first, as jobs move from there to the
-// log and on: while it stands, a missing final state says nothing.
+// The final state of a job that is not in the tables. A door's record is read first, as jobs move from there
+// to the log and on: while it stands, a missing final state says nothing.
 asio::awaitable<StateResult<StateItem>> Leader::read_ended(std::string id, double timeout_s) {
     auto door = co_await state_.get(door_key(id), timeout_s);
     StateResult<StateItem> result;
--- a/src/doors/door.cpp
+++ b/src/doors/door.cpp
@@ -15,21 +15,22 @@
 namespace {
 
 constexpr int kSegmentsAPage = 50;
-constexpr double kWarm_s = 2;       // between passes over the log that nobody asked for
-constexpr double kMarks_s = 10;     // between looks at the other controllers' marks and the machine types
-constexpr double kQuiet_s = 6;      // the state service counts as out of reach after this long without an answer
-constexpr double kFresh_s = 1.2;    // for one shared pass
-constexpr double kRead_s = 0.8;     // for one key
+constexpr double kWarm_s = 2;    // between passes over the log that nobody asked for
+constexpr double kMarks_s = 10;  // between looks at the other controllers' marks and the machine types
+constexpr double kQuiet_s = 6;   // the state service counts as out of reach after this long without an answer
+constexpr double kFresh_s = 1.2;  // for one shared pass
+constexpr double kRead_s = 0.8;   // for one key
 constexpr double kWrite_s = 1.0;
 constexpr double kCancelled_s = 2;  // for the leader to carry a cancellation out
 constexpr double kLook_s = 0.3;
-// Shares of the state service's rates; the rest is the leader's, who may be at work although this node can't hear it.
+// Shares of the state service's rates; the rest is the leader's, who may be at work although this node can't
+// hear it.
 constexpr double kReadShare = 0.2, kWriteShare = 0.25;
-// What a request may take of the reads, about. It is turned away at the door where that is not there: let in, requests
-// that come without a pause each took a part, and none got to its end.
+// What a request may take of the reads, about. It is turned away at the door where that is not there: let in,
+// requests that come without a pause each took a part, and none got to its end.
 constexpr double kReadsARequest = 4;
 constexpr size_t kDependenciesRead = 8;  // not alive, of one submission
-constexpr size_t kRecordSpare = 200;     // of a value's limit: the log's entry is longer than the door's record
+constexpr size_t kRecordSpare = 200;  // of a value's limit: the log's entry is longer than the door's record
 
 PeerReply come_back(int seconds = 1) { return {503, R"({"error":"not now"})", seconds, 0}; }
 
@@ -57,7 +58,8 @@
 
 template <class T>
 bool Door::heard(const StateResult<T>& result) {
-    bool answered = result || result.outcome == StateOutcome::Missing || result.outcome == StateOutcome::Conflict;
+    bool answered =
+        result || result.outcome == StateOutcome::Missing || result.outcome == StateOutcome::Conflict;
     if (answered) heard_at_ = steady_now();
     return answered;
 }
@@ -76,7 +78,8 @@
             if (marks) {
                 bool collect = all_collect(settings_, marks.value);
                 if (collect != collect_)
-                    spdlog::info("door: {}", collect ? "every controller collects" : "closed, not every controller collects");
+                    spdlog::info("door: {}", collect ? "every controller collects"
+                                                     : "closed, not every controller collects");
                 collect_ = collect;
             }
             auto types = co_await state_.get(kTypesKey, kRead_s);
@@ -105,7 +108,7 @@
         asio::co_spawn(io_, pass_loop(), asio::detached);
     }
     auto ok = co_await over.wait(kFresh_s);
-    co_return ok && *ok;
+    co_return ok&&* ok;
 }
 
 asio::awaitable<void> Door::pass_loop() {
@@ -277,7 +280,8 @@
     }
     if (result.too_fast) writes_.too_fast();
     if (!heard(result)) co_return come_back();
-    // It may have been accepted, and even cancelled, by a leader before: then the log tells, up to now at least.
+    // It may have been accepted, and even cancelled, by a leader before: then the log tells, up to now at
+    // least.
     if (!co_await fresh()) co_return come_back();
     auto live = in_log(spec.id);
     if (live.standing.at == Standing::At::Log) co_return door_reply(spec.id, live.standing, PeerOp::Submit);
@@ -294,8 +298,8 @@
     bool open = s.state == JobState::Queued || s.state == JobState::Running;
     if (s.at == Standing::At::Nowhere || s.at == Standing::At::Unclear || !open)
         co_return door_reply(id, s, PeerOp::Cancel);
-    // In the log, the leader alone can cancel it: a request is left for it. A job that no leader has collected is
-    // cancelled by its door's record.
+    // In the log, the leader alone can cancel it: a request is left for it. A job that no leader has
+    // collected is cancelled by its door's record.
     bool requested = seen->record && seen->record->cancelled;
     if (!requested) {
         if (!may_write(steady_now())) co_return come_back();
@@ -305,7 +309,8 @@
         if (!heard(result) || !result) co_return come_back();
         metrics_.count("door_cancellations_total");
     }
-    // A leader may have collected it before, and even ended it since: looked at again, from the first place on.
+    // A leader may have collected it before, and even ended it since: looked at again, from the first place
+    // on.
     co_return co_await until_cancelled(std::move(id));
 }
 
--- a/src/doors/door.h
+++ b/src/doors/door.h
@@ -1,6 +1,7 @@
-// The door: serves users through the state service while no leader answers this controller. An actor of its own; it
-// owns its copy of the log, and the rate at which it reads and writes. docs/design-doors.md has the argument why
-// that is safe beside any leader, and docs/operations.md, "When nobody leads", what operators see.
+// The door: serves users through the state service while no leader answers this controller. An actor of its
+// own; it owns its copy of the log, and the rate at which it reads and writes. docs/design-doors.md has the
+// argument why that is safe beside any leader, and docs/operations.md, "When nobody leads", what operators
+// see.
 #pragma once
 #include <deque>
 #include <functional>
@@ -16,10 +17,11 @@
 class Door {
   public:
     // `resting`: whether this node leads, and so needs no copy of the log.
-    Door(boost::asio::io_context& io, const Settings& settings, const Properties& properties, StateClient& state,
-         Metrics& metrics, std::function<bool()> resting);
+    Door(boost::asio::io_context& io, const Settings& settings, const Properties& properties,
+         StateClient& state, Metrics& metrics, std::function<bool()> resting);
 
-    // It can serve: every controller collects, the copy of the log is whole, and the state service answered lately.
+    // It can serve: every controller collects, the copy of the log is whole, and the state service answered
+    // lately.
     bool open() const;
     // Submit, Status and Cancel. 503 with when to come back whenever the state service does not tell enough.
     boost::asio::awaitable<PeerReply> serve(PeerCall call);
--- a/src/doors/log_view.cpp
+++ b/src/doors/log_view.cpp
@@ -39,7 +39,8 @@
         open_ = number;
         for (; open_read_ < entries.size(); ++open_read_) {
             auto& e = entries[open_read_];
-            if (!e.is_array() || e.get_array().size() < 2 || !e.get_array()[0].is_string()) read::bad("entry");
+            if (!e.is_array() || e.get_array().size() < 2 || !e.get_array()[0].is_string())
+                read::bad("entry");
             entry(e.get_array());
         }
     }
@@ -57,7 +58,8 @@
     while (!left.empty()) {
         auto* job = find(*left.back());
         left.pop_back();
-        if (!job) continue;  // ended as done: a cancelled one leaves the log after its dependants' own entries
+        if (!job)
+            continue;  // ended as done: a cancelled one leaves the log after its dependants' own entries
         if (job->cancelled) return true;
         for (auto& d : job->awaits)
             if (seen.insert(d).second) left.push_back(&d);
@@ -67,7 +69,8 @@
 
 bool LogView::may_have_ended(const std::string& id, uint64_t since) const {
     if (since < first_ended_) return true;
-    return std::find(ended_.begin() + static_cast<long>(since - first_ended_), ended_.end(), id) != ended_.end();
+    return std::find(ended_.begin() + static_cast<long>(since - first_ended_), ended_.end(), id) !=
+           ended_.end();
 }
 
 void LogView::end(const std::string& id) {
--- a/tests/door_model_test.cpp
+++ b/tests/door_model_test.cpp
@@ -1,7 +1,8 @@
-// A model check of the doors' records: every interleaving of two doors, two leaders and one job, with answers that are
-// lost and transactions that are executed again at any later time. The doors' transactions are the real ones
-// (doors/records.h); those of the leaders are held to the ledger's by LeadersTransactionsAreThoseOfTheLedger. Each
-// condition is then taken away on its own, and the model must find what that one guards against.
+// A model check of the doors' records: every interleaving of two doors, two leaders and one job, with answers
+// that are lost and transactions that are executed again at any later time. The doors' transactions are the
+// real ones (doors/records.h); those of the leaders are held to the ledger's by
+// DoorRecords.TheLeadersTransactionsAreThoseOfTheModel. Each condition is then taken away on its own, and the
+// model must find what that one guards against.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -48,9 +49,10 @@
     Txn txn;
 };
 struct LeaderNode {
-    uint8_t loaded;                           // 0 not yet, 1 the log, 2 the door records too
-    uint8_t job;                              // Alive etc. below
-    uint8_t inbox, inbox_version, own_version;  // the door record as last read; the version of its own segment
+    uint8_t loaded;  // 0 not yet, 1 the log, 2 the door records too
+    uint8_t job;     // Alive etc. below
+    uint8_t inbox, inbox_version,
+        own_version;  // the door record as last read; the version of its own segment
     uint8_t started, in_flight, kind, submits, cancels, seen, cancel_seen, from_door;
     Txn txn;
 };
@@ -59,8 +61,8 @@
 struct State {
     uint8_t value[kKeys], version[kKeys], last[kKeys];
     uint8_t told;
-    uint8_t drops;       // how often the log's segments were dropped after the job's end
-    uint8_t late_left;   // so many more late executions, of any of the copies below
+    uint8_t drops;      // how often the log's segments were dropped after the job's end
+    uint8_t late_left;  // so many more late executions, of any of the copies below
     DoorNode doors[2];
     LeaderNode leaders[2];
     Txn late[10];
@@ -131,14 +133,18 @@
     static bool told_in_log(const State& s) { return (s.value[kSegmentA] | s.value[kSegmentB]) & kTold; }
     static bool ended_in_log(const State& s) { return (s.value[kSegmentA] | s.value[kSegmentB]) & kEnd; }
     static bool live(const State& s) { return told_in_log(s) && !ended_in_log(s); }
-    static bool cancelled_in_log(const State& s) { return (s.value[kSegmentA] | s.value[kSegmentB]) & kCancel; }
+    static bool cancelled_in_log(const State& s) {
+        return (s.value[kSegmentA] | s.value[kSegmentB]) & kCancel;
+    }
 
     void check(const State& s) {
         bool at_door = s.value[kDoor] == kAccepted || s.value[kDoor] == kAcceptedCancelled;
         if (s.told && !at_door && !live(s) && !s.value[kFinal]) fail("an accepted job is nowhere");
-        if ((s.value[kSegmentA] & kTold) && (s.value[kSegmentB] & kTold)) fail("two leaders took the job for new");
+        if ((s.value[kSegmentA] & kTold) && (s.value[kSegmentB] & kTold))
+            fail("two leaders took the job for new");
         if (live(s) && s.value[kFinal]) fail("a job that has ended is alive");
-        if ((s.told & kSaidCancelled) && s.value[kFinal] == kDone) fail("called cancelled, and done in the end");
+        if ((s.told & kSaidCancelled) && s.value[kFinal] == kDone)
+            fail("called cancelled, and done in the end");
     }
 
     // What a user is told, against what the user knew when the request began.
@@ -156,8 +162,8 @@
     bool execute(State& s, Txn& t) {
         for (int k = 0; k < kKeys; ++k)
             if (t.conditions[k] != kAny && t.conditions[k] != s.version[k]) return false;
-        // What makes a new door record may be: the log holds the job, or its cancellation, by then, and the record
-        // is deleted again.
+        // What makes a new door record may be: the log holds the job, or its cancellation, by then, and the
+        // record is deleted again.
         bool makes = t.kind == kAccept || (t.kind == kDoorCancel && t.values[kDoor] == kRequest);
         if (t.executed && !makes) fail("a copy is executed again");
         t.executed = 1;
@@ -176,7 +182,8 @@
         if (s.lates == std::size(s.late)) return fail("the model has too little room");
         s.late[s.lates++] = t;
     }
-    // Copies that can do nothing any more, as versions never come back, are dropped; their order does not matter.
+    // Copies that can do nothing any more, as versions never come back, are dropped; their order does not
+    // matter.
     static void tidy(State& s) {
         auto dead = [&](const Txn& t) {
             if (s.late_left == 0) return true;
@@ -298,7 +305,8 @@
                 return;
             case kSending: {
                 Txn t = d.txn;
-                // The answer is lost: the user is told to come back, and the transaction is executed later or not.
+                // The answer is lost: the user is told to come back, and the transaction is executed later or
+                // not.
                 State lost = s;
                 leave_copy(lost, t);
                 idle(lost.doors[i]);
@@ -436,10 +444,10 @@
             State n = s;
             auto& m = n.leaders[i];
             if (l.loaded == 0) {
-                m.job = !told_in_log(s)        ? kUnknown
-                        : ended_in_log(s)      ? kOver
+                m.job = !told_in_log(s)       ? kUnknown
+                        : ended_in_log(s)     ? kOver
                         : cancelled_in_log(s) ? kAliveCancelled
-                                               : kAlive;
+                                              : kAlive;
                 m.own_version = s.version[i == 0 ? kSegmentA : kSegmentB];
             } else {
                 m.inbox = s.value[kDoor];
@@ -462,7 +470,8 @@
             n.leaders[i].from_door = 0;
             send(n, i, kNewJob, own | kTold);
         }
-        if (l.job == kUnknown && (l.inbox == kAccepted || l.inbox == kAcceptedCancelled)) {  // Leader::collect
+        if (l.job == kUnknown &&
+            (l.inbox == kAccepted || l.inbox == kAcceptedCancelled)) {  // Leader::collect
             State n = s;
             n.leaders[i].from_door = 1;
             send(n, i, kNewJob,
@@ -491,7 +500,8 @@
             State n = s;
             send(n, i, kForget, 0);
         }
-        // What it answers: from its tables, or from what it reads in the order door record, final state, tables.
+        // What it answers: from its tables, or from what it reads in the order door record, final state,
+        // tables.
         State n = s;
         if (l.job == kAlive) tell(n, s.told, kSaidAccepted);
         if (l.job == kAliveCancelled) tell(n, s.told, kSaidCancelled);
@@ -501,7 +511,8 @@
             else
                 tell(n, s.told, 0, true);
         }
-        if (l.job == kOver && s.value[kFinal]) tell(n, s.told, s.value[kFinal] == kDone ? kSaidDone : kSaidCancelled);
+        if (l.job == kOver && s.value[kFinal])
+            tell(n, s.told, s.value[kFinal] == kDone ? kSaidDone : kSaidCancelled);
         push(n);
     }
 
@@ -546,7 +557,8 @@
     std::string wrong_;
 };
 
-// What users ask of the two doors at the most, besides a submission at each leader and a cancellation at the second.
+// What users ask of the two doors at the most, besides a submission at each leader and a cancellation at the
+// second.
 struct Asked {
     const char* what;
     std::array<std::array<uint8_t, 3>, 2> doors;
--- a/tests/door_service_test.cpp
+++ b/tests/door_service_test.cpp
@@ -9,10 +9,11 @@
 using test::Service;
 
 struct Doors : Service {
-    explicit Doors(int count, With with = {}) : Service(count, [&] {
-        with.doors = true;
-        return with;
-    }()) {
+    explicit Doors(int count, With with = {})
+        : Service(count, [&] {
+              with.doors = true;
+              return with;
+          }()) {
         std::string warm = "req-1";
         EXPECT_EQ(submit(warm, "array", 1), 201);
         EXPECT_TRUE(done(warm));
@@ -45,7 +46,8 @@
     }
     std::string state_at(int node, const std::string& id) {
         auto a = at(node, "GET", "/v2/runs/" + id);
-        return a.status == 200 ? std::string(json::parse(a.body).at("status").as_string()) : std::to_string(a.status);
+        return a.status == 200 ? std::string(json::parse(a.body).at("status").as_string())
+                               : std::to_string(a.status);
     }
     size_t door_records() { return state->count(kDoorKeys); }
     bool collected() {
@@ -113,10 +115,10 @@
         {"fits no machine", Service::submission("req-8", "array", 1, 100), 422},
         {"waits for what was never accepted",
          Service::with(Service::submission("req-8", "array", 1), "awaits", json::array{"req-997"}), 422},
-        {"waits for itself", Service::with(Service::submission("req-8", "array", 1), "awaits", json::array{"req-8"}),
-         422},
-        {"waits for what has ended",
-         Service::with(s.upload("req-9", 1), "awaits", json::array{"req-2"}), 201},
+        {"waits for itself",
+         Service::with(Service::submission("req-8", "array", 1), "awaits", json::array{"req-8"}), 422},
+        {"waits for what has ended", Service::with(s.upload("req-9", 1), "awaits", json::array{"req-2"}),
+         201},
     };
     for (auto& row : rows) EXPECT_EQ(s.submit_at(f[0], row.body), row.status) << row.what;
     EXPECT_TRUE(s.done("req-9"));
@@ -219,13 +221,14 @@
         s.cloud->jobs[id] = {};
         s.state->put(door_key(id), json::parse(door_record(record)));
     }
-    s.state->put(door_key("req-5"), json::object{{"cancelled", true}});           // of a job that nobody knows
+    s.state->put(door_key("req-5"), json::object{{"cancelled", true}});  // of a job that nobody knows
     s.state->put(door_key("req-6"), json::object{{"job", 7}, {"at", wall_now()}});  // of nobody's making
     s.add_node(1);
     ASSERT_TRUE(s.until([&] { return s.state->count("f/") == kJobs + 1; }));
     EXPECT_EQ(s.status("req-10000"), "done");
     EXPECT_EQ(s.status("req-10001"), "aborted");
-    EXPECT_TRUE(s.until([&] { return s.door_records() == 1; })) << s.door_records();  // the malformed one stays
+    EXPECT_TRUE(s.until([&] { return s.door_records() == 1; }))
+        << s.door_records();  // the malformed one stays
     s.expect_no_rule_broken();
 }
 
--- /dev/null
+++ b/tests/door_test.cpp
@@ -0,0 +1,341 @@
+// The doors' decisions and their copy of the log, as tables of cases and random histories.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "doors/decide.h"
+#include "fixtures.h"
+#include "store.h"
+
+namespace weirmill {
+namespace {
+
+namespace json = boost::json;
+using test::Store;
+using test::World;
+
+constexpr LedgerLimits kSmall{12, 4};
+
+StatePage page_of(const Store& store, const std::string& after, size_t most) {
+    StatePage page;
+    page.revision = store.revision;
+    for (auto& [key, value] : store.keys) {
+        if (!key.starts_with(kSegments) || key <= after) continue;
+        if (page.items.size() == most) {
+            page.more = true;
+            break;
+        }
+        page.items.push_back({key, json::parse(value.first), value.second, 0});
+    }
+    return page;
+}
+
+// As Door::pass, with small pages.
+void follow(LogView& view, const Store& store) {
+    for (int tries = 0; tries < 2; ++tries) {
+        std::string after = view.after();
+        bool begins = true, in_order = true;
+        for (bool more = true; more && in_order; begins = false) {
+            auto page = page_of(store, after, 3);
+            in_order = view.take(page, begins);
+            more = page.more;
+            if (more) after = page.items.back().key;
+        }
+        if (in_order) return;
+        view.clear();
+    }
+    FAIL() << "not read in two tries";
+}
+
+TEST(DoorRecords, TheLeadersTransactionsAreThoseOfTheModel) {
+    // tests/door_model_test.cpp takes these conditions for granted.
+    struct Row {
+        uint64_t door;
+        std::map<std::string, uint64_t> conditions;
+    };
+    for (auto& row :
+         {Row{0, {{"leader", 41}, {"log", 0}, {segment_key(1), 0}, {"f/req-1", 0}, {"d/req-1", 0}}},
+          Row{7, {{"leader", 41}, {"log", 0}, {segment_key(1), 0}, {"f/req-1", 0}, {"d/req-1", 7}}}}) {
+        World w;
+        Ledger ledger(w.tables, 41, kSmall);
+        auto j = w.tables.add_job(w.spec("req-1", JobKind::Array, 2, 1), 1000, w.now);
+        ledger.new_job(j, row.door);
+        auto b = ledger.next(12);
+        std::map<std::string, uint64_t> seen;
+        for (auto& c : b.txn.conditions) seen[c.key] = c.version;
+        EXPECT_EQ(seen, row.conditions);
+        ledger.committed(b, 50);
+        ledger.forget("d/req-1", 7);
+        b = ledger.next(12);
+        seen.clear();
+        for (auto& c : b.txn.conditions) seen[c.key] = c.version;
+        EXPECT_EQ(seen, (std::map<std::string, uint64_t>{{"leader", 41}, {"log", 0}, {"d/req-1", 7}}));
+        ASSERT_EQ(b.txn.changes.size(), 1u);
+        EXPECT_TRUE(b.txn.changes[0].value.empty());
+        // Deleted with changes to spare only.
+        ledger.rejected(b);
+        EXPECT_TRUE(ledger.next(6).empty());
+        EXPECT_FALSE(ledger.next(7).empty());
+    }
+}
+
+TEST(DoorRecords, ManyJobsFromDoorsStayWithinTheLimitsOfATransaction) {
+    World w;
+    Ledger ledger(w.tables, 41, kSmall);
+    Store store;
+    for (int i = 0; i < 300; ++i) {
+        auto id = "req-" + std::to_string(i);
+        store.keys[door_key(id)] = {"{}", 5};
+        ledger.new_job(w.tables.add_job(w.spec(id, JobKind::Array, 1, 0.01), 1000, w.now), 5);
+        ledger.forget(door_key(id), 5);
+    }
+    test::flush(ledger, w.tables, store, kSmall, w.now);
+    EXPECT_TRUE(store.keys.lower_bound(kDoorKeys) == store.keys.lower_bound("d0")) << "records are left";
+    World fresh;
+    Ledger loaded(fresh.tables, 42, kSmall);
+    store.load(loaded, fresh.now);
+    EXPECT_EQ(fresh.tables.job_index.size(), 300u);
+}
+
+TEST(DoorRecords, AreReadAsTheyWereWrittenAndRefusedWhenTheyMakeNoSense) {
+    World w;
+    DoorRecord r{submission_json(w.spec("req-1", JobKind::Gang, 3, 2), w.tables.names), 1234.5, true};
+    auto again = parse_door_record(json::parse(door_record(r)));
+    EXPECT_EQ(again.job, r.job);
+    EXPECT_EQ(again.at, 1234.5);
+    EXPECT_TRUE(again.cancelled && again.accepted());
+    EXPECT_FALSE(parse_door_record(json::parse(door_record({nullptr, 0, true}))).accepted());
+    for (const char* bad : {"[]", "{}", R"({"job":{}})", R"({"job":{},"at":-1})", R"({"cancelled":false})",
+                            R"({"cancelled":3})"})
+        EXPECT_THROW(parse_door_record(json::parse(bad)), BadMessage) << bad;
+}
+
+TEST(DoorDecision, WhatIsFurtherAlongCounts) {
+    DoorRecord taken{json::object{}, 1, false}, cancelled{json::object{}, 1, true}, request{nullptr, 0, true};
+    LogView::Job waiting, running;
+    running.placed = 2;
+    running.done = 1;
+    using At = Standing::At;
+    struct Row {
+        const char* what;
+        Seen seen;
+        At at;
+        JobState state;
+        int submit, status, cancel;  // what its user is told
+    };
+    auto seen = [](std::optional<DoorRecord> d, const LogView::Job* live = nullptr, bool gone = false,
+                   std::optional<FinalState> f = {}) {
+        return Seen{std::move(d), live, gone, f};
+    };
+    FinalState done{JobState::Done, 3}, aborted{JobState::Cancelled, 0};
+    const Row rows[] = {
+        {"never accepted", seen({}), At::Nowhere, JobState::Queued, 404, 404, 404},
+        {"at a door", seen(taken), At::Door, JobState::Queued, 200, 200, 503},
+        {"cancelled at a door", seen(cancelled), At::Door, JobState::Cancelled, 200, 200, 200},
+        {"a request for a job that was not found", seen(request), At::Unclear, JobState::Queued, 503, 503,
+         503},
+        {"alive", seen({}, &waiting), At::Log, JobState::Queued, 200, 200, 503},
+        {"running", seen({}, &running), At::Log, JobState::Running, 200, 200, 503},
+        {"alive, its door record is left over", seen(taken, &running), At::Log, JobState::Running, 200, 200,
+         503},
+        {"alive, a door asked for its end", seen(cancelled, &running), At::Log, JobState::Running, 200, 200,
+         503},
+        {"alive, the leader cancelled it", seen(request, &running, true), At::Log, JobState::Cancelled, 200,
+         200, 200},
+        {"done", seen({}, nullptr, false, done), At::Ended, JobState::Done, 200, 200, 200},
+        {"done before a door's cancellation", seen(cancelled, nullptr, false, done), At::Ended,
+         JobState::Done, 200, 200, 200},
+        {"ended as cancelled, its record is left over", seen(taken, nullptr, false, aborted), At::Ended,
+         JobState::Cancelled, 200, 200, 200},
+    };
+    for (auto& row : rows) {
+        auto s = standing(row.seen);
+        EXPECT_EQ(s.at, row.at) << row.what;
+        EXPECT_EQ(s.state, row.state) << row.what;
+        EXPECT_EQ(door_reply("req-1", s, PeerOp::Submit).status, row.submit) << row.what;
+        EXPECT_EQ(door_reply("req-1", s, PeerOp::Status).status, row.status) << row.what;
+        EXPECT_EQ(door_reply("req-1", s, PeerOp::Cancel).status, row.cancel) << row.what;
+    }
+}
+
+TEST(DoorDecision, DoorsOpenOnceEveryControllerHasLeftItsMark) {
+    auto s = test::small_settings();
+    s.peers = {{"node-1", "a", {}}, {"node-2", "b", {}}};
+    struct Row {
+        std::vector<std::string> marks;
+        bool open;
+    };
+    for (auto& row : {Row{{}, false}, Row{{"node-0"}, false}, Row{{"node-1", "node-2"}, false},
+                      Row{{"node-0", "node-1"}, false}, Row{{"node-0", "node-1", "node-2"}, true},
+                      Row{{"node-0", "node-1", "node-2", "node-9"}, true}}) {
+        StatePage page;
+        for (auto& m : row.marks) page.items.push_back({mark_key(m), json::object{}, 1, 0});
+        EXPECT_EQ(all_collect(s, page), row.open) << row.marks.size();
+    }
+}
+
+TEST(DoorDecision, PatienceFollowsTheLeadersAnswersWithinBounds) {
+    struct Row {
+        const char* what;
+        std::vector<double> took;
+        double low, high;
+    };
+    const Row rows[] = {
+        {"nothing known", {}, 0.3, 0.3},
+        {"steady and quick", std::vector<double>(50, 0.01), 0.08, 0.08},
+        {"steady", std::vector<double>(50, 0.2), 0.2, 0.25},
+        {"now and then slow", {0.03, 0.03, 0.25, 0.03, 0.03, 0.03, 0.25, 0.03}, 0.2, 0.6},
+        {"very slow", std::vector<double>(20, 5.0), 0.6, 0.6},
+    };
+    for (auto& row : rows) {
+        Patience p;
+        for (double s : row.took) p.took(s);
+        EXPECT_GE(p.seconds(), row.low) << row.what;
+        EXPECT_LE(p.seconds(), row.high) << row.what;
+    }
+}
+
+TEST(LogView, ShowsWhatWasRecordedWhateverSegmentsWereDroppedMeanwhile) {
+    for (unsigned seed = 1; seed <= 12; ++seed) {
+        std::mt19937 random(seed);
+        auto below = [&](size_t n) { return static_cast<uint32_t>(random() % n); };
+        World w;
+        Store store;
+        Ledger ledger(w.tables, 41, kSmall);
+        LogView often, seldom;  // one that reads all the time, one that misses whole segments
+        std::vector<Index> machines;
+        for (int i = 0; i < 4; ++i) machines.push_back(w.machine("vm-00000" + std::to_string(i)));
+        int jobs = 0, compared = 0, drops = 0;
+        uint64_t moment = 0;
+        std::set<std::string> ended;
+        for (int step = 0; step < 1200; ++step) {
+            if (below(8) == 0 && w.tables.job_index.size() < 10)
+                ledger.new_job(w.tables.add_job(
+                    w.spec("req-" + std::to_string(++jobs), JobKind::Array, 1 + below(50), 0.01), 1000,
+                    w.now));
+            for (Index j = 0; j < w.tables.jobs.size(); ++j) {
+                auto* job = w.tables.jobs[j].get();
+                if (!job || job->version == 0 || job->ending) continue;
+                auto t = below(job->tasks.size());
+                auto& task = job->tasks[t];
+                if (task.state == TaskState::Pending && !job->cancelled)
+                    w.tables.place(j, t, machines[below(4)], task.attempt + 1, w.now);
+                else if (task.state == TaskState::Placed && below(4) > 0)
+                    w.tables.finish(j, t, w.now);
+                else if (task.state == TaskState::Placed)
+                    w.tables.vacate(j, t, w.now);
+                if (below(300) == 0 && !job->cancelled) {
+                    job->cancelled = true;
+                    ledger.cancel(j);
+                }
+                if (job->done == job->tasks.size() || (job->cancel_recorded && job->placed == 0)) {
+                    job->ending = true;
+                    ledger.finish(j);
+                }
+            }
+            auto b = ledger.next(2 + static_cast<int>(below(11)));
+            if (b.empty()) continue;
+            auto revision = store.apply(b.txn);
+            ASSERT_NE(revision, 0u);
+            drops += b.first != 0 && b.txn.changes.back().key == kLogKey;
+            ledger.committed(b, revision);
+            for (auto& e : b.entries) {
+                if (e.kind != EntryKind::Finish) continue;
+                ended.insert(w.tables.jobs[e.job]->spec.id);
+                w.tables.remove_job(e.job, w.now);
+            }
+            if (below(3) == 0) {
+                follow(often, store);
+                // Every end since the last look is known to the one that reads all the time.
+                for (auto& id : ended)
+                    EXPECT_TRUE(often.may_have_ended(id, moment)) << id << " seed " << seed;
+                ended.clear();
+                moment = often.moment();
+            }
+            if (below(400) != 0) continue;
+            test::flush(ledger, w.tables, store, kSmall, w.now);
+            follow(often, store);
+            follow(seldom, store);
+            ended.clear();
+            moment = often.moment();
+            ++compared;
+            for (auto* view : {&often, &seldom}) {
+                EXPECT_EQ(view->jobs(), w.tables.job_index.size()) << "seed " << seed;
+                for (auto& [id, index] : w.tables.job_index) {
+                    auto* seen = view->find(id);
+                    auto& job = *w.tables.jobs[index];
+                    ASSERT_NE(seen, nullptr) << id;
+                    EXPECT_EQ(seen->done, job.done) << id << " seed " << seed;
+                    EXPECT_EQ(seen->placed, job.placed) << id << " seed " << seed;
+                    EXPECT_EQ(view->cancelled(id), job.cancel_recorded) << id;
+                }
+            }
+        }
+        EXPECT_GT(compared, 0) << seed;
+        EXPECT_GT(drops, 0) << seed;
+    }
+}
+
+TEST(LogView, AGapInTheSegmentsStartsItOver) {
+    auto page = [](std::initializer_list<uint64_t> numbers) {
+        StatePage p;
+        for (auto n : numbers) p.items.push_back({segment_key(n), json::array{}, n, 0});
+        return p;
+    };
+    struct Row {
+        const char* what;
+        StatePage first, second;
+        bool begins, kept;
+    };
+    const Row rows[] = {
+        {"the open one again", page({3, 4}), page({4}), true, true},
+        {"and more", page({3, 4}), page({4, 5, 6}), true, true},
+        {"the open one is gone", page({3, 4}), page({5, 6}), true, false},
+        {"all are gone", page({3, 4}), page({}), true, false},
+        {"a further page", page({3, 4}), page({5}), false, true},
+        {"a hole between pages", page({3, 4}), page({6}), false, false},
+        {"a hole within a page", page({3, 4}), page({4, 6}), true, false},
+    };
+    for (auto& row : rows) {
+        LogView view;
+        ASSERT_TRUE(view.take(row.first, true));
+        EXPECT_EQ(view.take(row.second, row.begins), row.kept) << row.what;
+    }
+    // What ended while it was read anew can't be told.
+    LogView view;
+    auto moment = view.moment();
+    EXPECT_FALSE(view.may_have_ended("req-1", moment));
+    view.clear();
+    EXPECT_TRUE(view.may_have_ended("req-1", moment));
+}
+
+TEST(LogView, ACancellationIsThatOfAllWhoNeedTheJob) {
+    LogView view;
+    auto job = [](const char* id, json::array awaits) {
+        json::object body{{"name_id", id}, {"lots", 1}};
+        if (!awaits.empty()) body["awaits"] = std::move(awaits);
+        return json::array{"j", json::object{{"job", body}, {"at", 1}}};
+    };
+    StatePage page;
+    page.items.push_back(
+        {segment_key(1),
+         json::array{job("req-1", {}), job("req-2", {"req-1"}), job("req-3", {"req-9", "req-2"}),
+                     job("req-4", {}), json::array{"c", "req-1"}},
+         1, 0});
+    ASSERT_TRUE(view.take(page, true));
+    EXPECT_TRUE(view.cancelled("req-1"));
+    EXPECT_TRUE(view.cancelled("req-2"));
+    EXPECT_TRUE(view.cancelled("req-3"));
+    EXPECT_FALSE(view.cancelled("req-4"));
+    for (const char* bad :
+         {R"([[1,"x"]])", R"([["j",{}]])", R"([["t",5]])", R"([["z","req-1"]])", R"([["t","req-4",[7,1]]])",
+          R"([["p","req-5"]])", R"([["t","req-4",[0,3,"d"]]])"}) {
+        LogView fresh = view;
+        StatePage next;
+        next.items.push_back({segment_key(2), json::parse(bad), 2, 0});
+        EXPECT_THROW(fresh.take(next, false), BadMessage) << bad;
+    }
+}
+
+}  // namespace
+}  // namespace weirmill
--- a/tests/service.h
+++ b/tests/service.h
@@ -1,5 +1,5 @@
-// The whole service over loopback against stand-ins: some controllers, each with an io_context of its own, that can
-// crash, and cases that wait for conditions, never for a time.
+// The whole service over loopback against stand-ins: some controllers, each with an io_context of its own,
+// that can crash, and cases that wait for conditions, never for a time.
 #pragma once
 #include <gtest/gtest.h>
 #include <spdlog/spdlog.h>
--- a/tests/standin/standins.cpp
+++ b/tests/standin/standins.cpp
@@ -35,8 +35,8 @@
 }
 
 size_t State::count(const std::string& prefix) const {
-    return static_cast<size_t>(std::count_if(items_.begin(), items_.end(),
-                                             [&](auto& i) { return i.first.starts_with(prefix); }));
+    return static_cast<size_t>(
+        std::count_if(items_.begin(), items_.end(), [&](auto& i) { return i.first.starts_with(prefix); }));
 }
 
 void State::put(const std::string& key, json::value value) {
