Doors: a busy leader is waited for, a burst is recorded without pauses, a leader without the state service hands on

Later: a leader that loses the state service told users to come back although its peers' doors could serve. Change: a leader that answers pings is waited for up to 1 s; what one transaction can't take of a burst goes with the next at once; a leader whose last word from the state service was a failure answers as undecided. Ruled out: the door's budgets, which were not used up first.

--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -14,6 +14,8 @@
 namespace {
 constexpr double kForward_s = 2.2;
 constexpr double kAsked_s = 0.7;  // a leader that has not answered a question by then is not waited for
+constexpr double kBusy_s = 1.0;   // nor is one for a submission, although it is heard of
+constexpr double kProbe_s = 0.05;
 constexpr double kPing_s = 1.0;
 constexpr double kDeaf_s = 6;     // a follower this long without its leader sends users elsewhere
 constexpr double kSlow_s = 0.15;  // answers later than this are logged at debug
@@ -93,6 +95,29 @@
     out.set(std::move(reply));
 }
 
+// The leader's answer, for as long as it is heard of at all, and at most `most_s`. One that is busy answers
+// pings: taken for gone after a time alone, a leader with a burst of submissions had the doors' writes on top
+// of its own.
+asio::awaitable<std::optional<PeerReply>> Front::while_heard(OneShot<PeerReply> forwarded, double started,
+                                                             double most_s) {
+    bool probed = false;
+    for (;;) {
+        double quiet_until = std::max(started, heard_leader_) + patience_.seconds();
+        double until = std::min(quiet_until, started + most_s);
+        if (!probed) until = std::min(until, started + kProbe_s);
+        double now = steady_now();
+        if (now >= until && probed) co_return std::nullopt;
+        if (now < until) {
+            auto reply = co_await forwarded.wait(until - now);
+            if (reply) co_return reply;
+        }
+        if (!probed) {
+            probed = true;
+            if (leader_link()) asio::co_spawn(io_, ask_peer(leader_name()), asio::detached);
+        }
+    }
+}
+
 asio::awaitable<PeerReply> Front::serve(PeerCall call) {
     if (!door_->open()) co_return co_await to_leader(std::move(call));
     PeerCall again = call;
@@ -109,7 +134,7 @@
     double started = steady_now();
     OneShot<PeerReply> forwarded(io_.get_executor());
     asio::co_spawn(io_, forward(std::move(call), forwarded), asio::detached);
-    auto reply = co_await forwarded.wait(submits ? patience_.seconds() : kAsked_s);
+    auto reply = co_await while_heard(forwarded, started, submits ? kBusy_s : kAsked_s);
     if (reply && !reply->undecided) co_return *reply;
     auto own = co_await door_->serve(std::move(again));
     if (reply || own.status != 503) co_return own;
--- a/src/coordination/front.h
+++ b/src/coordination/front.h
@@ -29,6 +29,8 @@
     boost::asio::awaitable<HttpReply> handle_report(HttpRequest request);
     boost::asio::awaitable<PeerReply> to_leader(PeerCall call);
     boost::asio::awaitable<void> forward(PeerCall call, OneShot<PeerReply> out);
+    boost::asio::awaitable<std::optional<PeerReply>> while_heard(OneShot<PeerReply> forwarded, double started,
+                                                                 double most_s);
     // What users ask for: from the leader, or from this node's own door where no leader answers.
     boost::asio::awaitable<PeerReply> serve(PeerCall call);
     boost::asio::awaitable<void> ping_loop();
--- a/src/coordination/leader_inbox.cpp
+++ b/src/coordination/leader_inbox.cpp
@@ -78,8 +78,8 @@
     collect_inbox();
 }
 
-// A record that is to be deleted says nothing any more. Its job, should it have ended, was called "not now" until the
-// record was gone, which on a busy day took minutes.
+// A record that is to be deleted says nothing any more. Its job, should it have ended, was called "not now"
+// until the record was gone, which on a busy day took minutes.
 bool Leader::at_door(const std::string& id) const {
     auto it = inbox_.find(id);
     return it != inbox_.end() && it->second.step != Inboxed::Step::Forgetting;
--- a/src/coordination/leader_records.cpp
+++ b/src/coordination/leader_records.cpp
@@ -98,14 +98,16 @@
 void Leader::handle(TxnUnsure&) {
     state_failed_at_ = now_;
     for (auto& [id, list] : waiters_)
-        for (auto& [op, reply] : list) reply.set(come_back());
+        for (auto& [op, reply] : list) reply.set(undecided());
 }
 
 void Leader::handle(TxnDone& m) {
     flushing_ = false;
     if (m.result.outcome == StateOutcome::Ok) {
         state_worked_at_ = now_;
-        flush_not_before_ = now_ + kFlushPause_s;
+        // What one transaction could not take of a burst of submissions goes with the next at once.
+        bool burst = ledger_.submissions() >= static_cast<size_t>(settings_.txn_ops);
+        flush_not_before_ = now_ + (burst ? 0 : kFlushPause_s);
         metrics_.count("transactions_total");
         ledger_.committed(m.batch, m.result.value);
         for (auto& e : m.batch.entries) {
--- a/src/coordination/leader_users.cpp
+++ b/src/coordination/leader_users.cpp
@@ -93,7 +93,8 @@
     if (inbox_.count(spec.id)) collect_inbox();
     if (auto* job = tables_.find_job(spec.id)) {
         if (may_tell(*job)) return reply.set(job_reply(*job, PeerOp::Submit, 200));
-        if (job->version != 0 || state_down()) return reply.set(come_back());
+        if (job->version != 0 || state_down())
+            return reply.set(job->version != 0 ? come_back() : undecided());
         waiters_[spec.id].emplace_back(PeerOp::Submit, reply);
         return;
     }
@@ -102,8 +103,9 @@
     if (inbox_.count(spec.id)) return refuse_for_good(call, reply, spec.id, come_back());
     if (!tables_.types_known) return reply.set(come_back(2));
     if (tables_.never_runs(spec)) return refuse_for_good(call, reply, spec.id);
-    // The service can't record it now: told at once.
-    if (state_down() || ledger_.submissions() > 4 * settings_.state_write_rps) return reply.set(come_back());
+    // The service can't record it now: told at once. Another controller's door may reach the state service.
+    if (state_down()) return reply.set(undecided());
+    if (ledger_.submissions() > 4 * settings_.state_write_rps) return reply.set(come_back());
     if (tables_.task_count + spec.tasks > tables_.max_tasks) return reply.set(come_back(10));
     auto depends = dependence(call, reply, spec);
     if (!depends) return;
--- a/src/doors/door.cpp
+++ b/src/doors/door.cpp
@@ -23,7 +23,8 @@
 constexpr double kWrite_s = 1.0;
 constexpr double kCancelled_s = 2;  // for the leader to carry a cancellation out
 constexpr double kLook_s = 0.3;
-// Passes over the log begin so far apart, so that many polls share one; sooner only for who was just recorded.
+// Passes over the log begin so far apart, so that many polls share one; sooner only for who was just
+// recorded.
 constexpr double kApart_s = 0.2;
 // Shares of the state service's rates; the rest is the leader's, who may be at work although this node can't
 // hear it.
--- a/src/doors/door.h
+++ b/src/doors/door.h
@@ -36,7 +36,8 @@
     boost::asio::awaitable<void> warm_loop();
     boost::asio::awaitable<void> pass_loop();
     boost::asio::awaitable<bool> pass();
-    // The view shows all that was recorded before this was asked. `at_once`: without waiting for others who ask.
+    // The view shows all that was recorded before this was asked. `at_once`: without waiting for others who
+    // ask.
     boost::asio::awaitable<bool> fresh(bool at_once);
     boost::asio::awaitable<std::optional<Look>> look(std::string id, bool record_too);
     boost::asio::awaitable<PeerReply> submit(std::string body);
