Clearing and closing without the product of jobs and machines: the same choices

Change: a job for which machines would be cleared in vain, as one of its kind that wanted no more has shown in this round, is passed over; machines that hold anything that may not be stopped are left before their gangs are counted; machines being emptied are listed by job once. Looking for a machine to close asks first whether its tasks can move. A plan of rentals keeps its counters between jobs. One difference: a machine whose reservation has ended no longer counts for the job it was reserved for once another has taken it in the same round.

--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -49,6 +49,19 @@
 
 namespace {
 
+// Jobs for which the same machines may be cleared. Within a round machines are only taken, so where too few
+// were found for one job, there are too few for any other of the kind that wants as much.
+struct Vain {
+    JobSpec like;
+    bool owed;       // its team is owed its guarantee, for this job
+    int64_t wanted;  // tasks that found no machines; more of them find none either
+    bool covers(const JobSpec& s, bool is_owed, int64_t wants) const {
+        return wants >= wanted && is_owed == owed && like.need == s.need && like.team == s.team &&
+               like.priority == s.priority && like.spot == s.spot && like.zone == s.zone &&
+               like.one_zone == s.one_zone && like.spread == s.spread && like.types == s.types;
+    }
+};
+
 struct Clearable {
     ClearCandidate candidate;
     int64_t fits = 0;  // tasks of the waiting job on the emptied machine
@@ -59,11 +72,14 @@
 PreemptionRound plan_preemption(const Tables& tables, const Usable& usable, double now) {
     PreemptionRound round;
     std::vector<bool> taken(tables.machines.size(), false);
+    std::map<Index, std::vector<Index>> reserved;  // machines that are being emptied, by job
     for (Index i = 0; i < tables.machines.size(); ++i) {
         auto* m = tables.machines[i].get();
         taken[i] = m && m->reserved(now);
+        if (taken[i]) reserved[m->reserved_for].push_back(i);
     }
     std::map<std::pair<Index, uint32_t>, bool> stopped;
+    std::vector<Vain> vain;
     for (auto j : waiting_jobs(tables, now)) {
         auto& job = *tables.jobs[j];
         if (!tables.large(job.spec)) continue;
@@ -74,10 +90,15 @@
         while (!gang && wanted < job.pending && tables.within_limit(team, job.spec.need * (wanted + 1)))
             ++wanted;
         // Machines already being emptied for this job.
-        for (Index i = 0; i < tables.machines.size(); ++i)
-            if (taken[i] && tables.machines[i]->reserved_for == j)
-                wanted -= job.spec.need.times_in(tables.machines[i]->size);
+        if (auto it = reserved.find(j); it != reserved.end())
+            for (auto i : it->second) wanted -= job.spec.need.times_in(tables.machines[i]->size);
         if (wanted <= 0) continue;
+        bool owed = tables.within_guarantee(team, gang ? job.spec.need * job.pending : job.spec.need);
+        // Where some of its tasks are placed, its zones are its own.
+        bool fresh_zones = job.placed == 0;
+        if (fresh_zones &&
+            std::any_of(vain.begin(), vain.end(), [&](auto& v) { return v.covers(job.spec, owed, wanted); }))
+            continue;
 
         std::vector<Index> zones{kNone};
         if (job.spec.one_zone) {
@@ -87,7 +108,7 @@
         std::vector<Clearable> best;
         std::vector<size_t> best_pick;
         double best_cost = 0;
-        std::vector<Index> gang_ids;
+        bool has_room = false;
         for (auto zone : zones) {
             ZoneRule rule(tables, job);
             int64_t missing = wanted;
@@ -108,10 +129,12 @@
                 Clearable c;
                 c.candidate.machine = i;
                 c.fits = job.spec.need.times_in(m->size);
-                bool clearable = true;
+                if (m->tasks.empty() || !std::all_of(m->tasks.begin(), m->tasks.end(), [&](auto& ref) {
+                        return may_stop(tables, *tables.jobs[ref.job], job);
+                    }))
+                    continue;
                 for (auto& ref : m->tasks) {
                     auto& victim = *tables.jobs[ref.job];
-                    clearable = clearable && may_stop(tables, victim, job);
                     if (victim.spec.kind != JobKind::Gang) {
                         ++c.candidate.singles;
                         continue;
@@ -129,11 +152,12 @@
                         c.candidate.gangs.end())
                         c.candidate.gangs.push_back(it->second);
                 }
-                if (clearable && !m->tasks.empty()) list.push_back(std::move(c));
+                list.push_back(std::move(c));
             }
             if (missing <= 0) {
                 best.clear();  // there is room: placement will take it
                 best_pick.clear();
+                has_room = true;
                 break;
             }
             // N: the fewest whole machines that fit what is missing. Machines that hold the most first.
@@ -162,7 +186,10 @@
                 best_cost = cost;
             }
         }
-        if (best_pick.empty()) continue;
+        if (best_pick.empty()) {
+            if (fresh_zones && !has_room) vain.push_back({job.spec, owed, wanted});
+            continue;
+        }
         PreemptionRound::Clearing clearing{j, {}};
         for (auto p : best_pick) {
             auto i = best[p].candidate.machine;
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -234,6 +234,7 @@
     std::vector<size_t> changed{};  // machines, in the order of their changes
     std::vector<Kind> kinds{};
     uint64_t uses_of_kinds = 0;
+    mutable std::vector<uint32_t> scratch{};  // of a plan, all zero between plans
 
     bool serves(const Kind& k, const Coming& c) const {
         return k.fits_type[c.type] && (!c.spot || k.like.spot) &&
@@ -339,7 +340,11 @@
         };
         std::vector<Next> again, risen;  // the first is a heap, of the second the last goes first
         size_t opening = 0, rising = 0;  // of the kind's lists
-        std::vector<uint32_t> uses(coming.size() + tasks, 0);
+        if (scratch.size() < coming.size() + tasks) scratch.resize(coming.size() + tasks, 0);
+        auto& uses = scratch;
+        auto over = [&] {
+            for (auto& [i, c] : plan.machines) uses[i] = 0;
+        };
         auto add = [&](const Coming& c, size_t i) {
             size_t taken;
             double at = c.start(spec.need, taken);
@@ -416,9 +421,15 @@
                     again.pop_back();
                 }
             } else {
-                if (offer.type == kNone) return plan;
+                if (offer.type == kNone) {
+                    over();
+                    return plan;
+                }
                 auto& count = plan.wanted[{offer.type, offer.zone, offer.spot}];
-                if (count >= kMaxRental) return plan;
+                if (count >= kMaxRental) {
+                    over();
+                    return plan;
+                }
                 ++count;
                 ++plan.rented;
                 plan.machines.emplace(known++, offer);
@@ -432,6 +443,7 @@
             add(c, next.machine);
         }
         plan.complete = true;
+        over();
         return plan;
     }
 
@@ -546,11 +558,11 @@
     for (Index i = 0; i < tables.machines.size(); ++i) {
         auto* m = tables.machines[i].get();
         if (!m || m->tasks.empty() || !usable(*m) || m->reserved_for != kNone) continue;
+        if (!std::all_of(m->tasks.begin(), m->tasks.end(), [&](auto& ref) { return movable(ref); })) continue;
         if (std::any_of(waiting.begin(), waiting.end(),
                         [&](Index j) { return wants(tables, *tables.jobs[j], *m); }))
             continue;
         auto& type = tables.types[m->type].type;
-        if (!std::all_of(m->tasks.begin(), m->tasks.end(), [&](auto& ref) { return movable(ref); })) continue;
         // Room elsewhere, on machines that stay in use anyway.
         std::vector<std::pair<const Machine*, Resources>> others;
         for (auto& o : tables.machines)
