Tests: a job for which nothing can be cleared spares only those of its kind that want as much

Need: the pass over jobs in vain must not pass over one that wants less, smaller tasks, or is of another team.

--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -561,6 +561,39 @@
     EXPECT_EQ(plan_returns(w.tables, {1.0, 1}, w.now), (std::vector<Index>{idle, doomed}));
 }
 
+TEST(Preemption, AJobThatFindsNoMachinesSparesOnlyThoseOfItsKindThatWantAsMuch) {
+    struct Row {
+        const char* what;
+        uint32_t tasks;
+        double cpus;
+        Priority priority;
+        const char* team;
+        size_t cleared;
+    };
+    // Three machines with work of low priority; first a gang of four that can't be served, then another job.
+    const Row rows[] = {
+        {"wants as much", 4, 8, Priority::Normal, "blue", 0},
+        {"wants less", 3, 8, Priority::Normal, "blue", 3},
+        {"wants more", 5, 8, Priority::Normal, "blue", 0},
+        {"its tasks are smaller: two to a machine", 4, 4, Priority::Normal, "blue", 2},
+        {"of a priority that clears nothing", 3, 8, Priority::Low, "blue", 0},
+        {"of another team", 2, 8, Priority::Normal, "red", 2},
+    };
+    for (auto& row : rows) {
+        World w;
+        for (int i = 0; i < 3; ++i)
+            w.running(w.spec("req-" + std::to_string(i), JobKind::Array, 1, 8, 0, Priority::Low),
+                      {w.machine("m" + std::to_string(i))});
+        w.job(w.spec("req-10", JobKind::Gang, 4, 8));
+        auto second = w.job(w.spec("req-11", JobKind::Gang, row.tasks, row.cpus, 0, row.priority, row.team));
+        auto round = plan_preemption(w.tables, test::any_machine, w.now);
+        size_t cleared = 0;
+        for (auto& c : round.clearings)
+            if (c.job == second) cleared = c.machines.size();
+        EXPECT_EQ(cleared, row.cleared) << row.what;
+    }
+}
+
 TEST(Sizing, ThePlanIsTheSameWhetherMachinesAreKeptInOrderOrLookedAtAnew) {
     // Lists kept between jobs must follow every change that a job's plan makes: random clusters, with few
     // kinds of tasks and with many.
