--- a/bench/pass_bench.cpp
+++ b/bench/pass_bench.cpp
@@ -1,7 +1,10 @@
 // The cost of the leader's decisions, and of its start from the log, at the size of large sites.
-//   pass_bench                       times, on google-benchmark
-//   pass_bench count WHAT MACHINES   one decision alone, for instruction counts (docs/measurements.md):
-//   valgrind --tool=callgrind --toggle-collect='weirmill::place_waiting*' pass_bench count place 2000
+//
+//   pass_bench
+//       times, on google-benchmark
+//   pass_bench count WHAT MACHINES [JOBS]
+//       one decision alone, for instruction counts (docs/measurements.md), for instance under
+//       valgrind --tool=callgrind --toggle-collect='weirmill::place_waiting*'
 #include <benchmark/benchmark.h>
 
 #include <functional>
@@ -41,7 +44,9 @@
     Tables tables{settings};
     std::mt19937 random{7};
 
-    explicit Site(size_t machines) {
+    // `jobs`: 0 for as many as there are fifths of machines.
+    explicit Site(size_t machines, size_t jobs = 0) {
+        if (jobs == 0) jobs = machines / 5;
         MachineType cpu{"cpu", {16000, 0, 64000}, 25, 0.6, 1.15, 0.43, 15, {"a"}};
         MachineType gpu{"gpu", {12000, 2000, 72000}, 150, 0.4, 5.91, 1.98, 25, {"a"}};
         tables.set_types({cpu, gpu});
@@ -52,7 +57,7 @@
             m.session = 1;
             m.up_at = m.last_report = kNow;
         }
-        for (size_t j = 0; j < machines / 5; ++j) {
+        for (size_t j = 0; j < jobs; ++j) {
             JobSpec s;
             bool gang = j % 2;
             s.id = "req-" + std::to_string(j);
@@ -70,7 +75,7 @@
             s.one_zone = gang;
             auto index = tables.add_job(std::move(s), 1000, kNow);
             tables.jobs[index]->version = 1;
-            if (j == machines / 8 - 1) place_waiting(tables, up, kNow, 100000);
+            if (j == jobs * 5 / 8 - 1) place_waiting(tables, up, kNow, 100000);
         }
     }
 };
@@ -141,7 +146,7 @@
      }},
 };
 
-int count(const std::string& what, size_t size) {
+int count(const std::string& what, size_t size, size_t jobs) {
     if (what == "load") {
         Log log(size);
         std::cout << what << ": " << load(log) << " tasks in " << log.segments.size() << " segments\n";
@@ -149,7 +154,7 @@
     }
     for (auto& d : kDecisions) {
         if (what != d.name) continue;
-        Site site(size);
+        Site site(size, jobs);
         size_t waiting = waiting_jobs(site.tables, kNow).size();
         std::cout << what << ": " << d.decide(site.tables) << " decided, " << waiting << " jobs waiting\n";
         return 0;
@@ -161,7 +166,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-    if (argc == 4 && std::string(argv[1]) == "count") return count(argv[2], std::stoul(argv[3]));
+    if ((argc == 4 || argc == 5) && std::string(argv[1]) == "count")
+        return count(argv[2], std::stoul(argv[3]), argc == 5 ? std::stoul(argv[4]) : 0);
     for (auto& d : kDecisions)
         benchmark::RegisterBenchmark(d.name,
                                      [&d](benchmark::State& state) {
