After reading the change again: one way into the tables, one reader of rows, the inbox read as a message

Cause: read again, a watch that is answered with a status that stays (neither 200 nor 503) would have had the leader read its inbox without a pause, and that reading changed the records between messages and forgot what was under way. Change: the inbox is read into a message, whole or in part, and never again without a pause. A user's job and a door's go into the tables by one function; the log's rows and segment numbers are read by one for the leader and for doors, which were a little laxer; two steps of an inbox entry were twins.

--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -25,6 +25,43 @@
 }  // namespace
 
 std::string segment_key(uint64_t number) { return fmt::format("{}{:016}", kSegments, number); }
+uint64_t segment_number(const std::string& key) {
+    uint64_t number = 0;
+    auto* last = key.data() + key.size();
+    if (key.size() <= kSegments.size()) read::bad("key");
+    auto [end, ec] = std::from_chars(key.data() + kSegments.size(), last, number);
+    if (ec != std::errc() || end != last) read::bad("key");
+    return number;
+}
+
+TaskRow parse_row(const json::value& v, size_t tasks) {
+    if (!v.is_array()) read::bad("row");
+    auto& row = v.get_array();
+    auto number = [&](size_t k) {
+        boost::system::error_code bad;
+        auto n = k < row.size() ? row[k].to_number<uint32_t>(bad) : 0;
+        if (bad || k >= row.size()) read::bad("row");
+        return n;
+    };
+    TaskRow out;
+    out.first = out.last = number(0);
+    if (row.size() == 3 && row[2].is_string()) {
+        out.state = TaskState::Done;
+        out.last = number(1);
+    } else if (row.size() == 4 && row[3].is_string()) {
+        out.state = TaskState::Placed;
+        out.attempt = number(1);
+        out.session = number(2);
+        out.machine = std::string(row[3].get_string());
+    } else if (row.size() == 2) {
+        out.attempt = number(1);
+    } else {
+        read::bad("row");
+    }
+    if (out.last < out.first || out.last >= tasks) read::bad("row");
+    return out;
+}
+
 std::string final_key(const std::string& id) { return "f/" + id; }
 
 // Entries of a segment: ["j", {job, at, ready, cancelled}] a job, ["c", id] its cancellation, ["e", id, when]
@@ -348,8 +385,8 @@
     }
 }
 
-// Half of what a transaction may have is left for users who come next; but one goes with each that has room, as on a
-// busy day there is never more.
+// Half of what a transaction may have is left for users who come next; but one goes with each that has room,
+// as on a busy day there is never more.
 void Ledger::tell_forgets(Staged& s, LedgerBatch& b) {
     for (int n = std::max(1, s.ops - txn_ops_ / 2); n > 0 && s.ops > 0 && !forgets_.empty(); --n, --s.ops) {
         auto& [key, version] = forgets_.front();
@@ -539,12 +576,8 @@
 }
 
 void Ledger::load_segment(const StateItem& item, double now) {
-    uint64_t number = 0;
-    auto* begin = item.key.data() + kSegments.size();
-    auto* last = item.key.data() + item.key.size();
-    if (item.key.size() <= kSegments.size()) read::bad("key");
-    auto [end, ec] = std::from_chars(begin, last, number);
-    if (ec != std::errc() || end != last || number < next_number_) read::bad("key");
+    uint64_t number = segment_number(item.key);
+    if (number < next_number_) read::bad("key");
     if (!item.value.is_array()) read::bad("segment");
     for (auto& v : item.value.get_array()) {
         if (!v.is_array() || v.get_array().size() < 2) read::bad("entry");
@@ -608,35 +641,14 @@
         auto& names = loading_[index];
         names.resize(job.tasks.size());
         for (size_t i = 2; i < entry.size(); ++i) {
-            if (!entry[i].is_array()) read::bad("row");
-            auto& row = entry[i].get_array();
-            auto number = [&](size_t k) {
-                boost::system::error_code bad;
-                auto n = k < row.size() ? row[k].to_number<uint32_t>(bad) : 0;
-                if (bad || k >= row.size()) read::bad("row");
-                return n;
-            };
-            uint32_t t = number(0);
-            if (t >= job.tasks.size()) read::bad("row");
-            auto& task = job.tasks[t];
-            if (row.size() == 3 && row[2].is_string()) {
-                uint32_t upto = number(1);
-                if (upto < t || upto >= job.tasks.size()) read::bad("row");
-                for (uint32_t k = t; k <= upto; ++k) {
-                    job.tasks[k].state = TaskState::Done;
-                    names[k].clear();
-                }
-            } else if (row.size() == 4 && row[3].is_string()) {
-                task.state = TaskState::Placed;
-                task.attempt = number(1);
-                task.session = number(2);
-                names[t] = std::string(row[3].get_string());
-            } else if (row.size() == 2) {
-                task.state = TaskState::Pending;
-                task.attempt = number(1);
-                names[t].clear();
-            } else {
-                read::bad("row");
+            auto row = parse_row(entry[i], job.tasks.size());
+            for (uint32_t k = row.first; k <= row.last; ++k) {
+                auto& task = job.tasks[k];
+                task.state = row.state;
+                names[k] = row.machine;
+                if (row.state == TaskState::Done) continue;
+                task.attempt = row.attempt;
+                if (row.state == TaskState::Placed) task.session = row.session;
             }
         }
     } else {
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -24,7 +24,17 @@
 inline const std::string kRoundKey = "round";  // the last round of preemption
 inline const std::string kTypesKey = "types";  // the machine types last offered
 
-std::string segment_key(uint64_t number);  // in the order of numbers
+std::string segment_key(uint64_t number);         // in the order of numbers
+uint64_t segment_number(const std::string& key);  // throws BadMessage
+
+// What one row of the log tells of tasks `first` to `last` of a job.
+struct TaskRow {
+    uint32_t first = 0, last = 0;
+    TaskState state = TaskState::Pending;
+    uint32_t attempt = 0, session = 0;  // Pending: the attempt; Placed: both
+    std::string machine;                // Placed
+};
+TaskRow parse_row(const boost::json::value& v, size_t tasks);  // throws BadMessage
 std::string final_key(const std::string& id);
 
 std::string job_record(const Job& job, Index index, const Tables& tables);
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -104,7 +104,12 @@
 }
 
 asio::awaitable<void> Leader::run(std::shared_ptr<Leader> self) {
-    while (!stopped_ && !(co_await load() && co_await read_inbox())) co_await sleep_s(0.3);
+    std::optional<InboxChanged> inbox;
+    while (!stopped_) {
+        if (co_await load()) inbox = co_await read_inbox();
+        if (inbox) break;
+        co_await sleep_s(0.3);
+    }
     if (stopped_) co_return;
     now_ = steady_now();
     // A predecessor's rentals may not be listed yet: without waiting, they would be rented again.
@@ -121,6 +126,8 @@
         check_job(j);
     }
     tables_.spread_needs();
+    if (!inbox->events.empty()) spdlog::info("leader: {} door records to collect", inbox->events.size());
+    handle(*inbox);
     asio::co_spawn(io_, tick_loop(self), asio::detached);
     asio::co_spawn(io_, list_loop(self), asio::detached);
     asio::co_spawn(io_, inbox_loop(self), asio::detached);
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -72,6 +72,7 @@
     };
     struct InboxChanged {
         std::vector<StateEvent> events;
+        bool whole = false;  // all records there are, not only what changed
     };
     struct TypesRead {
         std::vector<MachineType> types;
@@ -114,7 +115,7 @@
     boost::asio::awaitable<void> read_dependencies(std::shared_ptr<Leader> self, PeerCall call, Reply reply,
                                                    std::vector<std::string> ids, bool collects);
     boost::asio::awaitable<StateResult<StateItem>> read_ended(std::string id, double timeout_s);
-    boost::asio::awaitable<bool> read_inbox();
+    boost::asio::awaitable<std::optional<InboxChanged>> read_inbox();
     boost::asio::awaitable<void> inbox_loop(std::shared_ptr<Leader> self);
     boost::asio::awaitable<void> types_loop(std::shared_ptr<Leader> self);
     boost::asio::awaitable<void> list_loop(std::shared_ptr<Leader> self);
@@ -148,6 +149,7 @@
         bool unsure = false;              // whether one of them will be accepted is not known yet
     };
     Dependence resolve(const JobSpec& spec) const;
+    Index add_new_job(JobSpec spec, const Dependence& depends, double submitted);
     // Nothing: the submission is answered, now or later.
     std::optional<Dependence> dependence(PeerCall& call, Reply& reply, const JobSpec& spec);
     void refuse_for_good(PeerCall& call, Reply& reply, const std::string& id, PeerReply refusal = kNeverRuns);
@@ -166,9 +168,8 @@
     void collect_inbox();
     void collect(const std::string& id, Inboxed& in);
     void collect_again(const DependenciesRead& m);
-    void collect_later(const std::string& id);
+    void told(const std::string& id, bool recorded);
     void forget(const std::string& id);
-    void collected(const std::string& id);
     void forgotten(const LedgerEntry& e);
     uint64_t door_version(const std::string& id) const;
     std::optional<FinalState> final_state(const StateItem& item) const;
--- a/src/coordination/leader_inbox.cpp
+++ b/src/coordination/leader_inbox.cpp
@@ -20,24 +20,22 @@
 constexpr double kWatch_s = 10;
 }  // namespace
 
-asio::awaitable<bool> Leader::read_inbox() {
-    inbox_.clear();
+asio::awaitable<std::optional<Leader::InboxChanged>> Leader::read_inbox() {
+    InboxChanged read;
+    read.whole = true;
     std::string after;
     for (bool more = true; more;) {
         auto page = co_await state_.list(kDoorKeys, after, kRecordsAPage, 3);
-        if (stopped_ || !page) co_return false;
+        if (stopped_ || !page) co_return std::nullopt;
         if (after.empty()) inbox_revision_ = page.value.revision;
         more = page.value.more && !page.value.items.empty();
-        for (auto& item : page.value.items) {
-            after = item.key;
-            take_door_record(item);
-        }
+        if (more) after = page.value.items.back().key;
+        for (auto& item : page.value.items) read.events.push_back({std::move(item), false});
     }
-    if (!inbox_.empty()) spdlog::info("leader: {} door records to collect", inbox_.size());
-    co_return true;
+    co_return read;
 }
 
-// Each page of changes is posted, so that the records change between messages only.
+// What was read is posted, so that the records change between messages only.
 asio::awaitable<void> Leader::inbox_loop(std::shared_ptr<Leader> self) {
     (void)self;
     while (!stopped_) {
@@ -46,13 +44,13 @@
         if (watched) {
             inbox_revision_ = std::max(inbox_revision_, watched.value.revision);
             if (!watched.value.events.empty()) post(InboxChanged{std::move(watched.value.events)});
-        } else if (watched.outcome == StateOutcome::Invalid) {
-            // Too old to be told on: all records are read again. What is under way with one goes on, as every
-            // transaction names the version that it read.
-            if (!co_await read_inbox()) co_await sleep_s(kAgain_s);
-        } else {
-            co_await sleep_s(kAgain_s);
+            continue;
         }
+        // Too old to be told on: all records are read again. Never without a pause, as any other status that
+        // stays would else be asked for without an end.
+        if (watched.outcome == StateOutcome::Invalid)
+            if (auto all = co_await read_inbox()) post(std::move(*all));
+        co_await sleep_s(kAgain_s);
     }
 }
 
@@ -68,6 +66,11 @@
 }
 
 void Leader::handle(InboxChanged& m) {
+    if (m.whole) {
+        std::set<std::string> there;
+        for (auto& e : m.events) there.insert(e.item.key);
+        std::erase_if(inbox_, [&](auto& in) { return !there.count(door_key(in.first)); });
+    }
     for (auto& e : m.events) {
         auto id = e.item.key.substr(std::min(kDoorKeys.size(), e.item.key.size()));
         if (!e.deleted)
@@ -128,15 +131,8 @@
                        asio::detached);
         return;
     }
-    bool cancelled = in.record.cancelled || depends.cancelled;
-    if (depends.on.empty() || cancelled) spec.dependencies.clear();
-    auto index = tables_.add_job(std::move(spec), in.record.at, now_);
-    auto& job = *tables_.jobs[index];
-    job.seen_at = now_ - std::max(0.0, wall_now() - in.record.at);
-    if (cancelled)
-        job.cancelled = job.cancel_recorded = true;  // in its own record
-    else if (job.waits)
-        tables_.set_dependencies(index, depends.on, now_);
+    depends.cancelled = depends.cancelled || in.record.cancelled;
+    auto index = add_new_job(std::move(spec), depends, in.record.at);
     // Doors open only where all controllers collect, so all can read a record in pieces.
     ledger_.allow_pieces();
     ledger_.new_job(index, in.version);
@@ -171,18 +167,13 @@
     return it != inbox_.end() && it->second.step == Inboxed::Step::Telling ? it->second.version : 0;
 }
 
-// A job that was not recorded after all: from its door's record, should there be one, it is collected again.
-void Leader::collect_later(const std::string& id) {
+// The transaction that told of a job is over. Its door's record, should there be one, is looked at again: to
+// be forgotten if the job was recorded, and otherwise, a little later, to be collected anew.
+void Leader::told(const std::string& id, bool recorded) {
     auto it = inbox_.find(id);
     if (it == inbox_.end() || it->second.step != Inboxed::Step::Telling) return;
     it->second.step = Inboxed::Step::Waiting;
-    it->second.not_before = now_ + kAgain_s;
-}
-
-void Leader::collected(const std::string& id) {
-    auto it = inbox_.find(id);
-    if (it != inbox_.end() && it->second.step == Inboxed::Step::Telling)
-        it->second.step = Inboxed::Step::Waiting;
+    it->second.not_before = recorded ? 0 : now_ + kAgain_s;
 }
 
 void Leader::forgotten(const LedgerEntry& e) {
--- a/src/coordination/leader_records.cpp
+++ b/src/coordination/leader_records.cpp
@@ -114,7 +114,7 @@
             if (e.kind == EntryKind::NewJob) {
                 auto& job = *tables_.jobs[e.job];
                 answer_waiters(job.spec.id, job_reply(job, PeerOp::Submit, 201));
-                collected(job.spec.id);
+                told(job.spec.id, true);
                 spdlog::debug("job: {} class={} tasks={} accepted, waits for {}", job.spec.id,
                               tables_.names.classes.name(job.spec.job_class), job.spec.tasks,
                               tables_.dependencies().of(e.job).size());
@@ -183,7 +183,7 @@
             auto waiting = std::move(waiters_[id]);
             waiters_.erase(id);
             drop_new_job(e.job);
-            ended ? forget(id) : collect_later(id);
+            ended ? forget(id) : told(id, false);
             for (auto& [op, reply] : waiting)
                 asio::co_spawn(io_, read_final(shared_from_this(), PeerCall{op, id, ""}, reply, kNotFound),
                                asio::detached);
@@ -201,7 +201,7 @@
                 auto id = tables_.jobs[e.job]->spec.id;
                 answer_waiters(id, come_back());
                 drop_new_job(e.job);
-                collect_later(id);
+                told(id, false);
             } else if (e.kind == EntryKind::Cancel) {
                 answer_waiters(tables_.jobs[e.job]->spec.id, come_back());
             }
--- a/src/coordination/leader_users.cpp
+++ b/src/coordination/leader_users.cpp
@@ -93,8 +93,8 @@
     if (inbox_.count(spec.id)) collect_inbox();
     if (auto* job = tables_.find_job(spec.id)) {
         if (may_tell(*job)) return reply.set(job_reply(*job, PeerOp::Submit, 200));
-        if (job->version != 0 || state_down())
-            return reply.set(job->version != 0 ? come_back() : undecided());
+        if (job->version != 0) return reply.set(come_back());
+        if (state_down()) return reply.set(undecided());
         waiters_[spec.id].emplace_back(PeerOp::Submit, reply);
         return;
     }
@@ -110,13 +110,7 @@
     auto depends = dependence(call, reply, spec);
     if (!depends) return;
     std::string id = spec.id;
-    if (depends->on.empty() || depends->cancelled) spec.dependencies.clear();
-    auto index = tables_.add_job(std::move(spec), wall_now(), now_);
-    auto& job = *tables_.jobs[index];
-    if (depends->cancelled)
-        job.cancelled = job.cancel_recorded = true;  // in its own record
-    else if (job.waits)
-        tables_.set_dependencies(index, depends->on, now_);
+    auto index = add_new_job(std::move(spec), *depends, wall_now());
     if (!ledger_.can_hold(index)) {
         // A version that recorded longer ones may have accepted it.
         tables_.remove_job(index, now_);
@@ -126,6 +120,19 @@
     ledger_.new_job(index);
 }
 
+// Into the tables; its record is still to be told. `submitted`: by the time of day.
+Index Leader::add_new_job(JobSpec spec, const Dependence& depends, double submitted) {
+    if (depends.on.empty() || depends.cancelled) spec.dependencies.clear();
+    auto index = tables_.add_job(std::move(spec), submitted, now_);
+    auto& job = *tables_.jobs[index];
+    job.seen_at = now_ - std::max(0.0, wall_now() - submitted);
+    if (depends.cancelled)
+        job.cancelled = job.cancel_recorded = true;  // in its own record
+    else if (job.waits)
+        tables_.set_dependencies(index, depends.on, now_);
+    return index;
+}
+
 Leader::Dependence Leader::resolve(const JobSpec& spec) const {
     Dependence out;
     for (auto& id : spec.dependencies) {
--- a/src/doors/log_view.cpp
+++ b/src/doors/log_view.cpp
@@ -1,7 +1,6 @@
 #include "doors/log_view.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include "bookkeeping/ledger.h"
 
@@ -24,11 +23,8 @@
 bool LogView::take(const StatePage& page, bool begins) {
     if (begins && open_ > 0 && (page.items.empty() || page.items[0].key != segment_key(open_))) return false;
     for (auto& item : page.items) {
-        uint64_t number = 0;
-        auto* begin = item.key.data() + std::min(kSegments.size(), item.key.size());
-        auto* last = item.key.data() + item.key.size();
-        auto [stop, ec] = std::from_chars(begin, last, number);
-        if (ec != std::errc() || stop != last || number == 0) read::bad("key");
+        uint64_t number = segment_number(item.key);
+        if (number == 0) read::bad("key");
         if (!item.value.is_array()) read::bad("segment");
         auto& entries = item.value.get_array();
         if (open_ == 0 || number == open_ + 1) {
@@ -150,19 +146,8 @@
         job.tasks[t] = static_cast<uint8_t>(state);
     };
     for (size_t i = 2; i < e.size(); ++i) {
-        if (!e[i].is_array() || e[i].get_array().size() < 2) read::bad("row");
-        auto& row = e[i].get_array();
-        boost::system::error_code bad, bad_last;
-        auto first = row[0].to_number<uint64_t>(bad);
-        auto last = row[1].to_number<uint64_t>(bad_last);
-        bool done = row.size() == 3 && row[2].is_string();
-        if (bad || bad_last || first >= job.tasks.size()) read::bad("row");
-        if (!done) {
-            set(first, row.size() == 4 ? TaskState::Placed : TaskState::Pending);
-            continue;
-        }
-        if (last < first || last >= job.tasks.size()) read::bad("row");
-        for (auto t = first; t <= last; ++t) set(t, TaskState::Done);
+        auto row = parse_row(e[i], job.tasks.size());
+        for (uint32_t t = row.first; t <= row.last; ++t) set(t, row.state);
     }
 }
 
