--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -56,9 +56,8 @@
     bool owed;       // its team is owed its guarantee, for this job
     int64_t wanted;  // tasks that found no machines; more of them find none either
     bool covers(const JobSpec& s, bool is_owed, int64_t wants) const {
-        return wants >= wanted && is_owed == owed && like.need == s.need && like.team == s.team &&
-               like.priority == s.priority && like.spot == s.spot && like.zone == s.zone &&
-               like.one_zone == s.one_zone && like.spread == s.spread && like.types == s.types;
+        return wants >= wanted && is_owed == owed && like.fits_as(s) && like.team == s.team &&
+               like.priority == s.priority && like.one_zone == s.one_zone && like.spread == s.spread;
     }
 };
 
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -259,9 +259,6 @@
     uint64_t used = 0;
 
     bool gone(const Opening& o) const { return stamps[o.machine] != o.stamp; }
-    bool same(const JobSpec& s) const {
-        return like.need == s.need && like.spot == s.spot && like.zone == s.zone && like.types == s.types;
-    }
 };
 
 struct Layout {
@@ -319,7 +316,7 @@
 
     // As all machines stand now.
     Kind& kind_of(const JobSpec& spec) {
-        auto it = std::find_if(kinds.begin(), kinds.end(), [&](auto& k) { return k.same(spec); });
+        auto it = std::find_if(kinds.begin(), kinds.end(), [&](auto& k) { return k.like.fits_as(spec); });
         bool known = it != kinds.end();
         if (!known) {
             if (kinds.size() < std::max<size_t>(most_kinds, 1)) {
@@ -626,9 +623,7 @@
         auto& job = *tables.jobs[j];
         auto& spec = job.spec;
         if (spec.kind == JobKind::Gang && std::none_of(gangs.begin(), gangs.end(), [&](auto* other) {
-                auto& o = other->spec;
-                return o.need == spec.need && o.team == spec.team && o.spot == spec.spot &&
-                       o.zone == spec.zone && o.types == spec.types;
+                return other->spec.team == spec.team && other->spec.fits_as(spec);
             }))
             gangs.push_back(&job);
     }
