--- /dev/null
+++ b/bench/regression.sh
@@ -0,0 +1,82 @@
+#!/usr/bin/env bash
+# The regression runs on the users' bench: six sites, quick (the two roughest days of each) or in full with a hunt.
+#
+#     bench/regression.sh KITDIR [--full] [--days N] [--why TEXT]
+#
+# Prints site, figure, the figure last committed in journal/ for the same kind of run, and the difference. Exit
+# codes: 0 all well, 1 a rule was broken, a day failed or a figure fell by over 0.03, 2 usage, 3 the bench did not
+# end as it should. All figures are of simulated machines. Needs jq and git; the journal entries are left to be
+# committed as they are.
+set -euo pipefail
+
+usage() {
+  echo "usage: bench/regression.sh KITDIR [--full] [--days N] [--why TEXT]" >&2
+  exit 2
+}
+
+kit="" full=0 days=4 why="regression of the six sites"
+while [ $# -gt 0 ]; do
+  case "$1" in
+    --full) full=1 ;;
+    --days) [ $# -gt 1 ] || usage; days=$2; shift ;;
+    --why) [ $# -gt 1 ] || usage; why=$2; shift ;;
+    -*) usage ;;
+    *) [ -z "$kit" ] || usage; kit=$1 ;;
+  esac
+  shift
+done
+[ -n "$kit" ] || usage
+bench=$kit/more/fleet/bin/fleetbench
+[ -x "$bench" ] || { echo "no bench at $bench" >&2; exit 2; }
+command -v jq >/dev/null || { echo "jq is needed" >&2; exit 2; }
+cd "$(git rev-parse --show-toplevel)"
+
+sites=(next/quetzal-socios-grown next/fraser-gavel-grown change/quetzal-socios-next change/fraser-gavel-next
+  more/fleet/quetzal-socios-fleet more/fleet/fraser-gavel-fleet)
+files=()
+for s in "${sites[@]}"; do files+=("$kit/$s.toml"); done
+args=()
+[ "$full" -eq 1 ] || args+=(--quick)
+
+# Quick and full scores are not comparable: only entries of the same kind count.
+select_kind='select(.cmd=="score" and .score!=null and .ok==true) | select((.argv|index("--quick")!=null)==$quick)'
+quick=$([ "$full" -eq 1 ] && echo false || echo true)
+committed=$(mktemp)
+log=$(mktemp)
+trap 'rm -f "$committed" "$log"' EXIT
+git ls-tree --name-only HEAD journal/ | grep '\.json$' | sort |
+  while read -r entry; do git show "HEAD:$entry"; done |
+  jq -r --argjson quick "$quick" "$select_kind | [.site, .score] | @tsv" >"$committed"
+
+before=$(find journal -maxdepth 1 -name '*.json' | sort)
+"$bench" score "${files[@]}" "${args[@]}" --why "$why" >"$log" 2>&1 || { cat "$log"; exit 3; }
+mapfile -t entries < <(comm -13 <(echo "$before") <(find journal -maxdepth 1 -name '*.json' | sort))
+[ "${#entries[@]}" -ge "${#sites[@]}" ] || { cat "$log"; echo "the bench wrote ${#entries[@]} entries" >&2; exit 3; }
+
+bad=0
+printf '%-24s %7s %9s %7s  %s\n' site figure committed change ""
+for s in "${sites[@]}"; do
+  site=${s##*/}
+  entry=$(jq -r --arg site "$site" 'select(.site==$site) | input_filename' "${entries[@]}" | tail -n 1)
+  [ -n "$entry" ] || { echo "no entry for $site" >&2; exit 3; }
+  # A failed day has a fault; a broken rule stands in its rules. Either brings the day's figure to 0.
+  wrong=$(jq -r '[.days[] | select((.rules|length)>0 or .fault!=null or .score==0) | .name + " " + (.rules|tostring) +
+    " " + (.fault|tostring)] | join("; ")' "$entry")
+  last=$(awk -F'\t' -v s="$site" '$1==s {v=$2} END {print v}' "$committed")
+  line=$(jq -r --arg last "$last" --arg site "$site" '
+    [$site, .score, $last, (if $last=="" then "" else .score-($last|tonumber) end)] | @tsv' "$entry")
+  verdict=$(awk -F'\t' -v wrong="$wrong" '{
+    fell = ($3!="" && $4 < -0.03)
+    printf "%-24s %7.3f %9s %7s  %s", $1, $2, ($3=="" ? "-" : sprintf("%.3f",$3)),
+      ($3=="" ? "-" : sprintf("%+.3f",$4)), (wrong!="" ? "BROKEN " wrong : (fell ? "FELL" : ""))
+    exit (wrong!="" || fell)}' <<<"$line") || bad=1
+  echo "$verdict"
+done
+
+if [ "$full" -eq 1 ]; then
+  for f in "${files[@]}"; do
+    "$bench" hunt "$f" --days "$days" >"$log" 2>&1 || { cat "$log"; bad=1; }
+    grep -E 'rule|broken|days' "$log" | sed "s|^|$(basename "$f" .toml): |" | head -n 4
+  done
+fi
+exit "$bad"
