--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -196,12 +196,124 @@
     auto rank() const { return std::make_tuple(late, late ? latest : 0, rented, latest); }
 };
 
+// When a machine has room for a task.
+struct Opening {
+    double at;
+    size_t machine, taken;
+    bool operator<(const Opening& o) const { return std::tie(at, machine) < std::tie(o.at, o.machine); }
+    bool operator>(const Opening& o) const { return o < *this; }
+};
+
+// The machines for tasks that are alike in all that counts here, the one with room the soonest first. Jobs of
+// a class mostly are: looked at anew for each job, the product of jobs and machines was nearly all that a
+// plan cost.
+struct Kind {
+    JobSpec like;  // of the first such job
+    std::vector<bool> fits_type;
+    std::vector<Opening> openings;  // in order
+    std::vector<Opening>
+        rising;              // those of machines that are coming up and hold the task as they are, in order
+    std::vector<double> at;  // by machine, 1e18: never
+    std::vector<int64_t> holds;  // by machine: tasks beside each other as it is
+    std::vector<int64_t> rooms;  // by zone: the sum of these
+    size_t seen = 0;             // changes of machines that were taken in
+    uint64_t used = 0;
+
+    bool same(const JobSpec& s) const {
+        return like.need == s.need && like.spot == s.spot && like.zone == s.zone && like.types == s.types;
+    }
+};
+
 struct Layout {
     const Tables& tables;
     double now;
     std::vector<Coming> coming;
     std::vector<bool> silent;
-    double dearest;  // of the prices offered
+    double dearest;                 // of the prices offered
+    size_t most_kinds;              // see SizingSettings
+    std::vector<size_t> changed{};  // machines, in the order of their changes
+    std::vector<Kind> kinds{};
+    uint64_t uses_of_kinds = 0;
+
+    bool serves(const Kind& k, const Coming& c) const {
+        return k.fits_type[c.type] && (!c.spot || k.like.spot) &&
+               (k.like.zone == kNone || k.like.zone == c.zone);
+    }
+
+    void put(Kind& k, size_t i, bool fresh) const {
+        auto& c = coming[i];
+        if (i >= k.at.size()) {
+            k.at.resize(i + 1, 1e18);
+            k.holds.resize(i + 1, 0);
+        }
+        auto place = [](std::vector<Opening>& list, const Opening& o) {
+            return std::lower_bound(list.begin(), list.end(), o);
+        };
+        if (!fresh && k.at[i] < 1e17) {
+            Opening was{k.at[i], i, 0};
+            k.openings.erase(place(k.openings, was));
+            auto it = place(k.rising, was);
+            if (it != k.rising.end() && it->machine == i) k.rising.erase(it);
+        }
+        if (c.zone >= k.rooms.size()) k.rooms.resize(c.zone + 1, 0);
+        k.rooms[c.zone] -= k.holds[i];
+        k.at[i] = 1e18;
+        k.holds[i] = 0;
+        if (!serves(k, c)) return;
+        k.holds[i] = k.like.need.times_in(c.room);
+        k.rooms[c.zone] += k.holds[i];
+        size_t taken;
+        double at = c.start(k.like.need, taken);
+        if (at > 1e17) return;
+        k.at[i] = at;
+        Opening o{at, i, taken};
+        bool rises = c.rising && taken == 0;
+        if (fresh) {
+            k.openings.push_back(o);
+            if (rises) k.rising.push_back(o);
+        } else {
+            k.openings.insert(place(k.openings, o), o);
+            if (rises) k.rising.insert(place(k.rising, o), o);
+        }
+    }
+
+    void rebuild(Kind& k) const {
+        k.openings.clear();
+        k.rising.clear();
+        k.at.assign(coming.size(), 1e18);
+        k.holds.assign(coming.size(), 0);
+        k.rooms.assign(tables.names.zones.size(), 0);
+        for (size_t i = 0; i < coming.size(); ++i) put(k, i, true);
+        std::sort(k.openings.begin(), k.openings.end());
+        std::sort(k.rising.begin(), k.rising.end());
+    }
+
+    // As all machines stand now.
+    Kind& kind_of(const JobSpec& spec) {
+        auto it = std::find_if(kinds.begin(), kinds.end(), [&](auto& k) { return k.same(spec); });
+        bool known = it != kinds.end();
+        if (!known) {
+            if (kinds.size() < std::max<size_t>(most_kinds, 1)) {
+                it = kinds.emplace(kinds.end());
+            } else {
+                it = std::min_element(kinds.begin(), kinds.end(),
+                                      [](auto& a, auto& b) { return a.used < b.used; });
+                *it = {};
+            }
+            it->like = spec;
+            for (Index t = 0; t < tables.types.size(); ++t)
+                it->fits_type.push_back(tables.type_fits(spec, t) && !tables.spares_gpus(spec, t));
+        }
+        auto& k = *it;
+        k.used = ++uses_of_kinds;
+        // A change costs about as much as a tenth of what a list costs to be made anew.
+        if (!known || most_kinds == 0 || (changed.size() - k.seen) * 10 > coming.size())
+            rebuild(k);
+        else
+            for (size_t n = k.seen; n < changed.size(); ++n) put(k, changed[n], false);
+        k.seen = changed.size();
+        return k;
+    }
 
     // A machine is rented where room comes later than this share of its boot. A cheap one is rented sooner:
     // where work never stops, tasks used to wait as long as a boot for each other's room, whatever more
@@ -211,35 +323,31 @@
         return kSooner * std::max(kEager, std::sqrt(tables.types[offer.type].type.price / dearest));
     }
 
-    // `tasks` of the job, in the zone `only` (kNone: any).
-    Plan plan(const Job& job, size_t tasks, Index only, ZoneRule rule, double slack) const {
+    // `tasks` of the job, in the zone `only` (kNone: any). `kind`: of the job, as all machines stand now.
+    Plan plan(const Job& job, const Kind& kind, size_t tasks, Index only, ZoneRule rule, double slack) const {
         auto& spec = job.spec;
         Plan plan;
         plan.late = false;
         plan.latest = 0;
         double run = tables.expected_run_s(spec);
-        // The machine with room the soonest goes first. `uses`: of the machine when this was reckoned.
+        // The machine with room the soonest goes first: from the list of the kind as far as this plan has not
+        // used them, and from those that it has. `uses`: of the machine when this was reckoned.
         struct Next {
-            double at;
-            size_t machine, taken;
+            Opening open;
             uint32_t uses;
-            bool operator>(const Next& o) const { return std::tie(at, machine) > std::tie(o.at, o.machine); }
+            bool operator>(const Next& o) const { return open > o.open; }
         };
-        std::vector<Next> heap, rising;  // of the second the soonest last
+        std::vector<Next> again, risen;  // the first is a heap, of the second the last goes first
+        size_t opening = 0, rising = 0;  // of the kind's lists
         std::vector<uint32_t> uses(coming.size() + tasks, 0);
         auto add = [&](const Coming& c, size_t i) {
             size_t taken;
             double at = c.start(spec.need, taken);
             if (at > 1e17) return;
-            heap.push_back({at, i, taken, uses[i]});
-            if (c.rising && taken == 0) rising.push_back(heap.back());
+            again.push_back({{at, i, taken}, uses[i]});
+            if (c.rising && taken == 0) risen.push_back(again.back());
+            std::push_heap(again.begin(), again.end(), std::greater<>());
         };
-        for (size_t i = 0; i < coming.size(); ++i) {
-            auto& c = coming[i];
-            if (serves(tables, spec, c) && (only == kNone || c.zone == only)) add(c, i);
-        }
-        std::make_heap(heap.begin(), heap.end(), std::greater<>());
-        std::sort(rising.begin(), rising.end(), std::greater<>());
         auto machine = [&](size_t i) -> Coming& {
             auto it = plan.machines.find(i);
             return it != plan.machines.end() ? it->second : plan.machines.emplace(i, coming[i]).first->second;
@@ -253,15 +361,26 @@
                 most = std::max(most, spec.need.times_in(tables.types[t].type.size));
         bool ruled = spec.one_zone || spec.spread;
         for (size_t rest = tasks; rest > 0; --rest) {
-            auto allowed = [&](const Next& n) {
-                auto it = plan.machines.find(n.machine);
-                return rule.allows(it != plan.machines.end() ? it->second.zone : coming[n.machine].zone);
+            auto zone_of = [&](size_t i) {
+                return i < coming.size() ? coming[i].zone : plan.machines.at(i).zone;
+            };
+            auto stale = [&](const Opening& o, uint32_t used) {
+                return used != uses[o.machine] || (ruled && !rule.allows(zone_of(o.machine)));
+            };
+            auto elsewhere = [&](const Opening& o) {
+                return only != kNone && coming[o.machine].zone != only;
+            };
+            auto skip = [&](const std::vector<Opening>& list, size_t& at) {
+                while (at < list.size() && (elsewhere(list[at]) || stale(list[at], 0))) ++at;
+                return at < list.size() ? &list[at] : nullptr;
             };
-            auto stale = [&](const Next& n) { return n.uses != uses[n.machine] || (ruled && !allowed(n)); };
-            while (!heap.empty() && stale(heap.front())) {
-                std::pop_heap(heap.begin(), heap.end(), std::greater<>());
-                heap.pop_back();
+            while (!again.empty() && stale(again.front().open, again.front().uses)) {
+                std::pop_heap(again.begin(), again.end(), std::greater<>());
+                again.pop_back();
             }
+            auto* first = skip(kind.openings, opening);
+            bool from_list = first && (again.empty() || *first < again.front().open);
+            auto* soonest = from_list ? first : again.empty() ? nullptr : &again.front().open;
             if (rest == tasks || ruled || static_cast<int64_t>(rest) < most)
                 offer = cheapest_offer(tables, spec, rest, only, rule, silent, now);
             // Waiting for room that will be there no later than a new machine costs nothing; longer waits are
@@ -271,21 +390,31 @@
                 filled = std::min(
                     1.0, static_cast<double>(rest) / static_cast<double>(spec.need.times_in(offer.room)));
             double patience = (kPatience + kThrift * (1 - filled)) * slack;
-            double best_at = heap.empty() ? 1e18 : heap.front().at;
-            bool wait = !heap.empty() &&
-                        (offer.type == kNone || best_at <= std::max(eager(offer) * offer.from, patience));
-            Next next{offer.from, known, 0, 0};
+            double best_at = soonest ? soonest->at : 1e18;
+            bool wait =
+                soonest && (offer.type == kNone || best_at <= std::max(eager(offer) * offer.from, patience));
+            Opening next{offer.from, known, 0};
             // What is coming up was rented for such work already.
-            if (!wait)
-                while (!rising.empty() && stale(rising.back())) rising.pop_back();
-            if (!wait && !rising.empty() && rising.back().at <= kSooner * offer.from) {
+            const Opening* rises = nullptr;
+            if (!wait) {
+                while (!risen.empty() && stale(risen.back().open, risen.back().uses)) risen.pop_back();
+                rises = !risen.empty() ? &risen.back().open : skip(kind.rising, rising);
+            }
+            if (rises && rises->at <= kSooner * offer.from) {
                 wait = true;
-                next = rising.back();
-                rising.pop_back();
+                next = *rises;
+                if (risen.empty())
+                    ++rising;
+                else
+                    risen.pop_back();
             } else if (wait) {
-                std::pop_heap(heap.begin(), heap.end(), std::greater<>());
-                next = heap.back();
-                heap.pop_back();
+                next = *soonest;
+                if (from_list) {
+                    ++opening;
+                } else {
+                    std::pop_heap(again.begin(), again.end(), std::greater<>());
+                    again.pop_back();
+                }
             } else {
                 if (offer.type == kNone) return plan;
                 auto& count = plan.wanted[{offer.type, offer.zone, offer.spot}];
@@ -301,7 +430,6 @@
             ++uses[next.machine];
             rule.add(c.zone);
             add(c, next.machine);
-            std::push_heap(heap.begin(), heap.end(), std::greater<>());
         }
         plan.complete = true;
         return plan;
@@ -309,6 +437,7 @@
 
     void adopt(Plan plan) {
         for (auto& [i, c] : plan.machines) {
+            changed.push_back(i);
             if (i < coming.size())
                 coming[i] = std::move(c);
             else
@@ -317,15 +446,10 @@
     }
 
     // The zones to try for a job bound to one, the one with the most room first.
-    std::vector<Index> zones_for(const Job& job, const ZoneRule& rule) const {
+    std::vector<Index> zones_for(const Kind& kind, const ZoneRule& rule) const {
         std::vector<std::pair<int64_t, Index>> rooms;
-        for (Index z = 0; z < tables.names.zones.size(); ++z) {
-            if (!rule.allows(z)) continue;
-            int64_t room = 0;
-            for (auto& c : coming)
-                if (c.zone == z && serves(tables, job.spec, c)) room += job.spec.need.times_in(c.room);
-            rooms.emplace_back(-room, z);
-        }
+        for (Index z = 0; z < tables.names.zones.size(); ++z)
+            if (rule.allows(z)) rooms.emplace_back(z < kind.rooms.size() ? -kind.rooms[z] : 0, z);
         std::stable_sort(rooms.begin(), rooms.end(), [](auto& a, auto& b) { return a.first < b.first; });
         std::vector<Index> out;
         for (auto& r : rooms) out.push_back(r.second);
@@ -340,7 +464,12 @@
     double dearest = 0;
     for (auto& t : tables.types)
         if (t.offered) dearest = std::max(dearest, t.type.price);
-    Layout layout{tables, now, known_machines(tables, usable, now), silent_zones(tables, usable), dearest};
+    Layout layout{tables,
+                  now,
+                  known_machines(tables, usable, now),
+                  silent_zones(tables, usable),
+                  dearest,
+                  settings.kept_kinds};
     Wanted wanted;
     std::vector<Resources> team_extra(tables.teams.size());
     for (auto j : waiting_jobs(tables, now)) {
@@ -362,8 +491,9 @@
             if (tables.type_fits(spec, t)) fetch = std::max(fetch, tables.fetch_s(spec, t));
         double slack = slack_of(tables, job, fetch, now);
         Plan chosen;
-        for (auto only : bound ? layout.zones_for(job, rule) : std::vector<Index>{kNone}) {
-            auto plan = layout.plan(job, left, only, rule, slack);
+        auto& kind = layout.kind_of(spec);
+        for (auto only : bound ? layout.zones_for(kind, rule) : std::vector<Index>{kNone}) {
+            auto plan = layout.plan(job, kind, left, only, rule, slack);
             if (!plan.complete && (bound || gang)) continue;  // all or nothing: the next zone
             if (plan.rank() < chosen.rank()) chosen = std::move(plan);
         }
--- a/src/coordination/sizing.h
+++ b/src/coordination/sizing.h
@@ -18,6 +18,9 @@
 struct SizingSettings {
     double idle_keep_boots = 0.3;
     double report_s = 1;
+    // Kinds of equal tasks whose machines are kept in order between jobs; 0: looked at anew for each job. The
+    // plan is the same.
+    size_t kept_kinds = 8;
 };
 
 // Room to keep free for a class whose jobs should start sooner than a new machine comes up.
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -561,5 +561,43 @@
     EXPECT_EQ(plan_returns(w.tables, {1.0, 1}, w.now), (std::vector<Index>{idle, doomed}));
 }
 
+TEST(Sizing, ThePlanIsTheSameWhetherMachinesAreKeptInOrderOrLookedAtAnew) {
+    // Lists kept between jobs must follow every change that a job's plan makes: random clusters, with few
+    // kinds of tasks and with many.
+    size_t rentals = 0;
+    for (unsigned seed = 1; seed <= 150; ++seed) {
+        std::mt19937 random(seed);
+        auto below = [&](size_t n) { return static_cast<uint32_t>(random() % n); };
+        World w;
+        for (uint32_t i = 0, n = 10 + below(80); i < n; ++i) {
+            auto& m = *w.tables.machines[w.machine("vm-" + std::to_string(i), below(3) ? "std" : "gpu",
+                                                   below(2) ? "a" : "b", below(3) == 0)];
+            m.up = below(4) > 0;
+            m.status = m.up ? MachineStatus::Running : MachineStatus::Booting;
+            m.rented = w.now - below(30);
+        }
+        uint32_t jobs = 5 + below(40), kinds = below(2) ? 3 : 30;
+        for (uint32_t j = 0; j < jobs; ++j) {
+            uint32_t k = below(kinds);
+            auto s = w.spec("req-" + std::to_string(j), below(2) ? JobKind::Gang : JobKind::Array,
+                            1 + below(20), 1 + 0.2 * k, k % 3 == 0 ? 1 : 0, static_cast<Priority>(below(4)));
+            s.spot = k % 2;
+            s.one_zone = below(3) == 0;
+            s.spread = !s.one_zone && below(4) == 0;
+            s.estimate_s = 10 + below(90);
+            s.deadline_s = below(2) ? -1 : below(200);
+            if (below(5) == 0) s.zone = w.tables.names.zones.find("b");
+            w.job(std::move(s));
+            if (j == jobs / 2) place_waiting(w.tables, test::any_machine, w.now, 1000);
+        }
+        auto kept = plan_rentals(w.tables, test::any_machine, {0.3, 2, 8}, w.now);
+        for (size_t lists : {0, 1, 2})
+            EXPECT_EQ(plan_rentals(w.tables, test::any_machine, {0.3, 2, lists}, w.now), kept)
+                << "seed " << seed << ", lists " << lists;
+        rentals += kept.size();
+    }
+    EXPECT_GT(rentals, 150u);
+}
+
 }  // namespace
 }  // namespace weirmill
