--- a/src/protocol/user_codec.cpp
+++ b/src/protocol/user_codec.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "protocol/json_write.h"
+
 namespace weirmill {
 
 namespace json = boost::json;
@@ -148,6 +150,50 @@
     return o;
 }
 
+void append_submission(std::string& out, const JobSpec& s, const Names& names) {
+    auto text = [&](std::string_view before, std::string_view v) {
+        out += before;
+        write::text(out, v);
+    };
+    auto number = [&](std::string_view before, double v) {
+        out += before;
+        write::number(out, v);
+    };
+    auto flag = [&](std::string_view before, bool v) {
+        out += before;
+        write::flag(out, v);
+    };
+    text("{\"name_id\":", s.id);
+    text(",\"lot_class\":", names.classes.name(s.job_class));
+    text(",\"consignor\":", names.teams.name(s.team));
+    for (auto& k : kKinds)
+        if (k.kind == s.kind) text(",\"sale_kind\":", k.wire);
+    for (auto& p : kPriorities)
+        if (p.priority == s.priority) text(",\"urgency\":", p.wire);
+    out += ",\"lots\":";
+    write::number(out, s.tasks);
+    number(",\"cores\":", amount(s.need.cpu));
+    number(",\"accelerators\":", amount(s.need.gpu));
+    number(",\"mem_gb\":", amount(s.need.mem));
+    for (size_t i = 0; i < s.types.size(); ++i)
+        text(i == 0 ? ",\"rigs\":[" : ",", names.types.name(s.types[i]));
+    if (!s.types.empty()) out += ']';
+    if (s.zone != kNone) text(",\"yard\":", names.zones.name(s.zone));
+    flag(",\"same_place\":", s.one_zone);
+    flag(",\"scatter\":", s.spread);
+    flag(",\"loaners\":", s.spot);
+    text(",\"bundle\":", names.images.name(s.image));
+    number(",\"size_gb\":", s.image_gb);
+    number(",\"expected_s\":", s.estimate_s);
+    number(",\"tally_s\":", s.checkpoint_s);
+    number(",\"bank_s\":", s.save_s);
+    if (s.deadline_s >= 0) number(",\"due_s\":", s.deadline_s);
+    for (size_t i = 0; i < s.dependencies.size(); ++i)
+        text(i == 0 ? ",\"awaits\":[" : ",", s.dependencies[i]);
+    if (!s.dependencies.empty()) out += ']';
+    out += '}';
+}
+
 std::string job_answer(std::string_view id, JobState state) {
     return json::serialize(
         json::object{{"name_id", json::string_view(id.data(), id.size())}, {"status", state_name(state)}});
--- a/src/protocol/user_codec.h
+++ b/src/protocol/user_codec.h
@@ -17,6 +17,8 @@
 JobSpec parse_submission(const boost::json::value& v, Names& names);
 // The same fields as parse_submission reads, for the state service.
 boost::json::object submission_json(const JobSpec& spec, const Names& names);
+// The same as text, appended without a value in between: traces write it by the million.
+void append_submission(std::string& out, const JobSpec& spec, const Names& names);
 
 enum class JobState : uint8_t { Queued, Running, Done, Cancelled };
 std::string job_answer(std::string_view id, JobState state);
