--- a/src/protocol/user_codec.cpp
+++ b/src/protocol/user_codec.cpp
@@ -199,6 +199,17 @@
         json::object{{"name_id", json::string_view(id.data(), id.size())}, {"status", state_name(state)}});
 }
 
+std::optional<JobState> parse_job_state(std::string_view body) {
+    boost::system::error_code ec;
+    auto v = json::parse(json::string_view(body.data(), body.size()), ec);
+    auto* o = ec ? nullptr : v.if_object();
+    auto* s = o ? o->if_contains("status") : nullptr;
+    if (s && s->is_string())
+        for (auto state : {JobState::Queued, JobState::Running, JobState::Done, JobState::Cancelled})
+            if (s->get_string() == state_name(state)) return state;
+    return {};
+}
+
 std::string job_status(std::string_view id, JobState state, uint32_t done, uint32_t running) {
     return json::serialize(json::object{{"name_id", json::string_view(id.data(), id.size())},
                                         {"status", state_name(state)},
--- a/src/protocol/user_codec.h
+++ b/src/protocol/user_codec.h
@@ -1,5 +1,6 @@
 // The users' interface: submissions in, job states out.
 #pragma once
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,6 +23,8 @@
 
 enum class JobState : uint8_t { Queued, Running, Done, Cancelled };
 std::string job_answer(std::string_view id, JobState state);
+// What an answer about a job says of its state, as users read it; nothing: it says none.
+std::optional<JobState> parse_job_state(std::string_view body);
 std::string job_status(std::string_view id, JobState state, uint32_t done, uint32_t running);
 
 }  // namespace weirmill
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
+#include <charconv>
 
 #include "transport/http_server.h"
 
@@ -49,7 +50,12 @@
     (void)got;
     if (read_ec) co_return std::nullopt;
     auto response = parser.release();
-    HttpAnswer answer{static_cast<int>(response.result_int()), std::move(response.body())};
+    HttpAnswer answer{static_cast<int>(response.result_int()), std::move(response.body()), 0};
+    auto after = response[http::field::retry_after];
+    unsigned seconds = 0;
+    if (auto [end, bad] = std::from_chars(after.data(), after.data() + after.size(), seconds);
+        bad == std::errc() && end == after.data() + after.size())
+        answer.retry_after_s = seconds;
     if (response.keep_alive() && idle_.size() < kMaxIdle) {
         stream->expires_never();
         idle_.push_back(std::move(stream));
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -15,6 +15,7 @@
 struct HttpAnswer {
     int status = 0;
     std::string body;
+    double retry_after_s = 0;  // 0: no such header, or one that is no number of seconds
 };
 
 class HttpClient {
