weirmillctl: completion for bash, and its exit codes held by a table

The words come from the command line's own description, so they can't differ from it. 21 command lines end as docs/traces.md says, 6 completions.

--- a/src/tools/weirmillctl.cpp
+++ b/src/tools/weirmillctl.cpp
@@ -16,6 +16,7 @@
 
 #include "protocol/cloud_codec.h"
 #include "settings/settings.h"
+#include "tools/completion.h"
 #include "traces/import.h"
 #include "traces/play.h"
 #include "traces/stats.h"
@@ -178,6 +179,11 @@
     CLI::App app("weirmillctl: tools around the cluster scheduler");
     app.set_version_flag("--version", std::string("weirmillctl ") + WEIRMILL_VERSION);
     app.require_subcommand(1);
+    app.footer("Example:\n  weirmillctl trace formats");
+    auto* completion = app.add_subcommand("completion", "a script that completes this command's words");
+    completion->footer("Example:\n  weirmillctl completion bash > /etc/bash_completion.d/weirmillctl");
+    std::string shell;
+    completion->add_option("SHELL", shell, "bash")->required()->check(CLI::IsMember({"bash"}));
     auto* trace = app.add_subcommand("trace", "published traces of clusters as submissions");
     trace->require_subcommand(1);
     trace->footer(
@@ -245,6 +251,10 @@
         return app.exit(e) == 0 ? kDone : kUsage;
     }
     try {
+        if (*completion) {
+            std::cout << tools::bash_completion(app, "weirmillctl", {{"--format", names}});
+            return kDone;
+        }
         if (*list) {
             for (auto& f : traces::formats())
                 std::cout << f.name << "\t" << f.title << "\t" << f.inputs << "\n";
--- a/tests/traces_test.cpp
+++ b/tests/traces_test.cpp
@@ -12,6 +12,7 @@
 #include <set>
 #include <sstream>
 
+#include "protocol/cloud_codec.h"
 #include "protocol/user_codec.h"
 #include "traces/import.h"
 
@@ -446,6 +447,79 @@
     EXPECT_GT(rejected, 100u);
 }
 
+// What a shell prints, and how it ends.
+std::pair<std::string, int> run(const std::string& command) {
+    std::string out;
+    auto* pipe = ::popen(command.c_str(), "r");
+    char buffer[4096];
+    for (size_t n; (n = ::fread(buffer, 1, sizeof buffer, pipe)) > 0;) out.append(buffer, n);
+    int status = ::pclose(pipe);
+    return {out, WIFEXITED(status) ? WEXITSTATUS(status) : -1};
+}
+
+TEST(Weirmillctl, EndsAsItsPageSays) {
+    Folder folder;
+    folder.file("types.json", machine_types_json(types()));
+    folder.file("good.swf", "1 0 5 100 4 -1 -1 4 200 -1 1 1 1 1 1 1 -1 -1\n");
+    folder.file("some.swf", "1 0 5 100 4 -1 -1 4 200 -1 1 1 1 1 1 1 -1 -1\nx\n");
+    folder.file("cut.gz", packed<io::gzip_compressor>(std::string(100, '1')).substr(0, 15));
+    folder.file("bad.properties", "unit.core = 1\n");
+    folder.file("bad.json", "[");
+    folder.file("old.play", "{\"id\":\"req-1\",\"is\":\"sent\"}\n");
+    const std::string import =
+        "trace import --format swf --types types.json --out j.ndjson --dispositions d.ndjson ";
+    struct Row {
+        std::string arguments;
+        int code;
+    };
+    const Row rows[] = {
+        {"--version", 0},
+        {"--help", 0},
+        {"trace import --help", 0},
+        {"trace formats", 0},
+        {"", 2},
+        {"trace import", 2},
+        {import + "good.swf", 0},
+        {"trace stats j.ndjson --html page.html", 0},
+        {import + "some.swf", 0},
+        {import + "--strict some.swf", 1},
+        {import + "- < good.swf", 0},
+        {import + "cut.gz", 3},
+        {import + "missing.swf", 3},
+        {import + "--map bad.properties good.swf", 2},
+        {import + "--map missing.properties good.swf", 2},
+        {"trace import --format swf --types bad.json --out j --dispositions d good.swf", 3},
+        {"trace import --format swf --types types.json --out j --dispositions j good.swf", 2},
+        {"trace import --format nqs --types types.json --out j --dispositions d good.swf", 2},
+        {"trace stats types.json", 3},
+        {"trace play --to 127.0.0.1:1 --log old.play j.ndjson", 2},
+        {"trace play --to nowhere j.ndjson", 2},
+    };
+    for (auto& r : rows) {
+        auto command = "cd " + folder.path.string() + " && " WEIRMILLCTL " " + r.arguments + " 2>/dev/null";
+        EXPECT_EQ(run(command).second, r.code) << r.arguments;
+    }
+}
+
+TEST(Weirmillctl, CompletesItsOwnWords) {
+    struct Row {
+        const char* words;  // the last one is being written
+        const char* reply;
+    };
+    const Row rows[] = {{"tr", "trace"},
+                        {"trace im", "import"},
+                        {"trace import --fo", "--format"},
+                        {"trace import --format ali", "alibaba-2018 alibaba-gpu-2020"},
+                        {"trace play --res", "--resume"},
+                        {"trace import --map im", ""}};
+    for (auto& r : rows) {
+        std::string words = std::string("weirmillctl ") + r.words;
+        auto got = run("bash -c 'source <(" WEIRMILLCTL " completion bash); COMP_WORDS=(" + words +
+                       "); COMP_CWORD=$((${#COMP_WORDS[@]}-1)); _weirmillctl; echo \"${COMPREPLY[@]}\"'");
+        EXPECT_EQ(got.first, std::string(r.reply) + "\n") << r.words;
+    }
+}
+
 TEST(Traces, AppendedSubmissionsAreThoseOfTheCodec) {
     Names names;
     JobSpec s;
