Play: a job that the service forgets is lost after a minute, and a play of it ends

An accepted job that stays unknown was polled for ever. Now 404 for as long as a user would go on trying settles it as lost; an answer in between takes that back. Two rows of the table hold it.

--- a/src/tools/weirmillctl.cpp
+++ b/src/tools/weirmillctl.cpp
@@ -168,7 +168,8 @@
     std::cout << figures.json() << std::endl;
     if (interrupted) std::cerr << "weirmillctl: stopped; go on with --resume " << options.log << "\n";
     auto failures = figures.went_back + (interrupted ? 1 : 0);
-    for (auto p : {traces::Played::Refused, traces::Played::GivenUp, traces::Played::NotSent})
+    for (auto p :
+         {traces::Played::Refused, traces::Played::GivenUp, traces::Played::NotSent, traces::Played::Lost})
         failures += figures.by_state[static_cast<size_t>(p)];
     return failures > 0 ? kSomeRejected : kDone;
 }
--- a/src/traces/import.cpp
+++ b/src/traces/import.cpp
@@ -115,7 +115,13 @@
           shaper_(map, types),
           assembler_(reader_->numeric_keys(), map.back_s, [this](TraceJob&& job) { settle(std::move(job)); }),
           write_jobs_(jobs),
-          write_dispositions_(dispositions) {}
+          write_dispositions_(dispositions) {
+        for (auto& input : inputs) {
+            auto& place = places_.emplace_back("\"file\":");
+            write::text(place, input);
+            place += ",\"line\":";
+        }
+    }
 
     Account run() {
         std::vector<std::unique_ptr<Records>> files;
@@ -227,9 +233,7 @@
     }
 
     void place(Where where) {
-        told_ += "\"file\":";
-        write::text(told_, inputs_[where.file]);
-        told_ += ",\"line\":";
+        told_ += places_[where.file];
         write::number(told_, where.line);
         if (where.element == 0) return;
         told_ += ",\"element\":";
@@ -366,6 +370,7 @@
 
     std::unique_ptr<Reader> reader_;
     const std::vector<std::string>& inputs_;
+    std::vector<std::string> places_;  // of each input, what a line's place begins with
     Shaper shaper_;
     Assembler assembler_;
     const Write& write_jobs_;
--- a/src/traces/play.cpp
+++ b/src/traces/play.cpp
@@ -20,8 +20,8 @@
 
 namespace {
 
-constexpr const char* kNames[] = {"waiting", "sent",    "accepted", "done",
-                                  "aborted", "refused", "given_up", "not_sent"};
+constexpr const char* kNames[] = {"waiting", "sent",     "accepted", "done", "aborted",
+                                  "refused", "given_up", "not_sent", "lost"};
 
 // One line of an import's output.
 struct ParsedJob {
@@ -116,17 +116,21 @@
     return {Played::Sent, after};
 }
 
-bool judge_status(Track& track, const std::optional<HttpAnswer>& answer, double now) {
+bool judge_status(Track& track, const std::optional<HttpAnswer>& answer, double now, double patience_s) {
     auto back = [&](const std::string& what) {
         if (track.went_back.empty()) track.went_back = what;
     };
     // An accepted job is never unknown again.
     if (answer && answer->status == 404) {
         back(std::string(played_name(track.is)) + ", then unknown");
+        if (track.unknown_s < 0) track.unknown_s = now;
+        // Without an end a play of a service that forgets would have none.
+        if (!settled(track.is) && now - track.unknown_s > patience_s) track.is = Played::Lost;
         return false;
     }
     auto state = answer && answer->status == 200 ? parse_job_state(answer->body) : std::nullopt;
     if (!state) return false;
+    track.unknown_s = -1;
     auto is = played(*state);
     if (settled(track.is)) {
         if (is != track.is)
@@ -309,7 +313,7 @@
             co_await client().request("POST", std::string(paths::kJobs), job.body, options_.answer_s);
         auto judged = judge_submission(answer, track.sent_s, now(), options_.patience_s);
         if (judged.is == Played::Sent) {
-            co_await pause(std::max(judged.again_s, options_.least_again_s));
+            co_await pause(judged.again_s);
             continue;
         }
         if (judged.is == Played::Accepted) track.accepted_s = now();
@@ -323,7 +327,7 @@
         co_await pause(options_.poll_s);
         if (stopped_) co_return;
         auto answer = co_await client().request("GET", target(id), "", options_.status_s);
-        judge_status(track, answer, now());
+        judge_status(track, answer, now(), options_.patience_s);
     }
     if (stopped_) co_return;
     set(id, track, track.is);
@@ -332,7 +336,7 @@
         co_await pause(options_.poll_s);
         if (stopped_) co_return;
         auto answer = co_await client().request("GET", target(id), "", options_.status_s);
-        judge_status(track, answer, now());
+        judge_status(track, answer, now(), options_.patience_s);
     }
 }
 
--- a/src/traces/play.h
+++ b/src/traces/play.h
@@ -55,6 +55,7 @@
     Refused,  // can never run
     GivenUp,  // not taken in the time that a user goes on trying
     NotSent,  // a job that it waits for was not taken
+    Lost,     // taken, then unknown for as long as a user would go on trying
 };
 const char* played_name(Played state);
 std::optional<Played> played_of(const std::string& name);
@@ -67,6 +68,7 @@
            ended_s = -1;         // since the play began; < 0: not yet
     uint32_t tries = 0;          // requests to submit it
     uint32_t final_answers = 0;  // that said done or aborted, all of them the same
+    double unknown_s = -1;       // since when the service says that it does not know the job; < 0: it does
     std::string went_back;       // what an answer took back; empty: none did
 };
 
@@ -78,21 +80,20 @@
 Judgement judge_submission(const std::optional<HttpAnswer>& answer, double first_s, double now,
                            double patience_s);
 // Takes the answer to a poll into account; pure but for `track`. False: it told nothing.
-bool judge_status(Track& track, const std::optional<HttpAnswer>& answer, double now);
+bool judge_status(Track& track, const std::optional<HttpAnswer>& answer, double now, double patience_s);
 
 struct PlayOptions {
     std::vector<Endpoint> to;
-    double speed = 1;          // of the trace's time
-    size_t in_flight = 1000;   // jobs that were sent and are not settled
-    double patience_s = 60;    // a submission is tried again for so long
-    double least_again_s = 1;  // and no sooner than this after the last try
+    double speed = 1;         // of the trace's time
+    size_t in_flight = 1000;  // jobs that were sent and are not settled
+    double patience_s = 60;   // a submission is tried again for so long
     double poll_s = 5;
     double answer_s = 5, status_s = 2;  // waited for an answer
     std::string log;                    // a path; empty: none is kept
 };
 
 struct PlayFigures {
-    uint64_t jobs = 0, by_state[8] = {};
+    uint64_t jobs = 0, by_state[9] = {};
     uint64_t tries = 0, went_back = 0;
     std::string submit, start,
         end;  // latencies, JSON: submission to acceptance, acceptance to running, to the end
--- a/tests/play_test.cpp
+++ b/tests/play_test.cpp
@@ -58,14 +58,20 @@
         {{"done", "404"}, Played::Done, "done, then unknown", 1},
         {{"aborted", "done", "queued"}, Played::Aborted, "aborted, then done", 1},
         {{"nonsense", "done"}, Played::Done, "", 1},
+        // Unknown for over 60 s (each answer comes 25 s after the one before) it is lost; not if it comes
+        // back.
+        {{"queued", "404", "404", "404", "404"}, Played::Lost, "accepted, then unknown", 0},
+        {{"queued", "404", "404", "queued", "404", "404"}, Played::Accepted, "accepted, then unknown", 0},
     };
     for (auto& r : rows) {
         Track t;
         t.is = Played::Accepted;
+        double now = 0;
         for (std::string s : r.states) {
             auto body = "{\"name_id\":\"req-1\",\"status\":\"" + s + "\"}";
-            judge_status(
-                t, s == "?" ? std::nullopt : std::optional(HttpAnswer{s == "404" ? 404 : 200, body, 0}), 5);
+            judge_status(t,
+                         s == "?" ? std::nullopt : std::optional(HttpAnswer{s == "404" ? 404 : 200, body, 0}),
+                         now += 25, 60);
         }
         EXPECT_EQ(t.is, r.is) << r.states.back();
         EXPECT_EQ(t.went_back, r.went_back);
