Traces, read again: one poll of a job, one reader of jobs' lines, no index that nobody asked for

The loops of a play before and after a job's end polled with the same five lines; the check of a file's order read lines by a loop of its own, and wrote every body as text only to drop it, where JobFile::each does without; Records kept the number of its file unread.

--- a/src/traces/import.cpp
+++ b/src/traces/import.cpp
@@ -18,8 +18,7 @@
 // The records of one input, and the next of them.
 class Records {
   public:
-    Records(const std::string& path, Reader& reader, uint32_t file)
-        : lines_(path), reader_(reader), file_(file) {}
+    Records(const std::string& path, Reader& reader) : lines_(path), reader_(reader) {}
 
     // False: none is left. `line.number` is that of the record's first line.
     bool next(Line& line, uint64_t& others) {
@@ -31,7 +30,6 @@
         return false;
     }
     const std::string& broken() const { return lines_.broken(); }
-    uint32_t file() const { return file_; }
 
   private:
     // The elements of an array whose brackets and commas are all that stands between them.
@@ -99,7 +97,6 @@
 
     LineSource lines_;
     Reader& reader_;
-    uint32_t file_;
     Line line_;
     size_t at_ = 0;
     uint64_t elements_ = 0;
@@ -125,8 +122,7 @@
 
     Account run() {
         std::vector<std::unique_ptr<Records>> files;
-        for (uint32_t i = 0; i < inputs_.size(); ++i)
-            files.push_back(std::make_unique<Records>(inputs_[i], *reader_, i));
+        for (auto& input : inputs_) files.push_back(std::make_unique<Records>(input, *reader_));
         reader_->timed() ? merge(files) : by_table(files);
         assembler_.finish();
         settle_waiting();
--- a/src/traces/play.cpp
+++ b/src/traces/play.cpp
@@ -72,15 +72,12 @@
 
 JobFile::JobFile(const std::string& path) : path_(path) {
     if (path == "-") throw Unreadable("jobs are read twice: standard input can't be played");
-    LineSource lines(path);
     bool ordered = true;
     double newest = -INFINITY;
-    for (Line line; lines.next(line);) {
-        auto at = parse_job(line.text, path, line.number).at_s;
-        ordered = ordered && at >= newest;
-        newest = std::max(newest, at);
-    }
-    if (!lines.broken().empty()) throw Unreadable(lines.broken());
+    each(path, [&](double at_s, const JobSpec&, const Names&) {
+        ordered = ordered && at_s >= newest;
+        newest = std::max(newest, at_s);
+    });
     lines_ = std::make_unique<LineSource>(path);
     if (ordered) return;
     for (Line line; lines_->next(line);) sorted_.push_back(parse_job(line.text, path, line.number));
@@ -322,22 +319,19 @@
     }
 }
 
+asio::awaitable<void> Player::poll(const std::string& id, Track& track) {
+    co_await pause(options_.poll_s);
+    if (stopped_) co_return;
+    auto answer = co_await client().request("GET", target(id), "", options_.status_s);
+    judge_status(track, answer, now(), options_.patience_s);
+}
+
 asio::awaitable<void> Player::follow(const std::string& id, Track& track) {
-    while (!stopped_ && !settled(track.is)) {
-        co_await pause(options_.poll_s);
-        if (stopped_) co_return;
-        auto answer = co_await client().request("GET", target(id), "", options_.status_s);
-        judge_status(track, answer, now(), options_.patience_s);
-    }
+    while (!stopped_ && !settled(track.is)) co_await poll(id, track);
     if (stopped_) co_return;
     set(id, track, track.is);
     // A final answer stands: another node is asked once more.
-    while (!stopped_ && track.final_answers < 2 && track.went_back.empty()) {
-        co_await pause(options_.poll_s);
-        if (stopped_) co_return;
-        auto answer = co_await client().request("GET", target(id), "", options_.status_s);
-        judge_status(track, answer, now(), options_.patience_s);
-    }
+    while (!stopped_ && track.final_answers < 2 && track.went_back.empty()) co_await poll(id, track);
 }
 
 namespace {
--- a/src/traces/play.h
+++ b/src/traces/play.h
@@ -121,6 +121,7 @@
     boost::asio::awaitable<void> play(PlayJob job, Track& track);
     boost::asio::awaitable<bool> awaited(const PlayJob& job);
     boost::asio::awaitable<void> submit(const PlayJob& job, Track& track);
+    boost::asio::awaitable<void> poll(const std::string& id, Track& track);
     boost::asio::awaitable<void> follow(const std::string& id, Track& track);
     boost::asio::awaitable<void> pause(double seconds);  // cut short by stop()
     HttpClient& client();
