Membership: what each controller knows of its links, and a leader that hands over

Change: src/membership keeps what is measured of links, tells it with each ping and, where a peer is out of reach, under a leased key; a leader that a peer outdoes settles, ends its tenure, deletes its leadership in one conditional transaction and names its successor, which campaigns at once. Calls go over a second peer where the leader can't be reached; stops go by the controller that relays.

--- a/src/bookkeeping/state_client.cpp
+++ b/src/bookkeeping/state_client.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include "protocol/paths.h"
+#include "transport/one_shot.h"
 
 namespace weirmill {
 
@@ -46,6 +47,8 @@
         spdlog::error("state: malformed answer to {} {}: {}", method, target, e.what());
         out.outcome = StateOutcome::Unknown;
     }
+    if (out || out.outcome == StateOutcome::Conflict || out.outcome == StateOutcome::Missing)
+        answered_at_ = steady_now();
     co_return out;
 }
 
--- a/src/bookkeeping/state_client.h
+++ b/src/bookkeeping/state_client.h
@@ -65,12 +65,16 @@
     boost::asio::awaitable<StateResult<bool>> renew(uint64_t lease, double timeout_s);
     boost::asio::awaitable<StateResult<StateWatch>> watch(std::string prefix, uint64_t after, double wait_s);
 
+    // When the state service last answered this controller, refusals aside; steady clock, seconds.
+    double answered_at() const { return answered_at_; }
+
   private:
     template <class F>
     boost::asio::awaitable<StateResult<std::invoke_result_t<F, std::string_view>>> ask(
         HttpClient& via, const char* method, std::string target, std::string body, double timeout_s, F parse);
 
     HttpClient calls_, leases_, watches_;
+    double answered_at_ = -1e9;
 };
 
 }  // namespace weirmill
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -97,6 +97,8 @@
     uint64_t session = 0, seq = 0;
     bool saw_token = false;
     double last_report = 0, last_answer = 0;
+    double direct_at = 0;    // the last report that came to this controller itself
+    std::string relayed_by;  // the controller that passed on the last report; empty: it came by itself
     double notice_until = -1;
     // What the cloud said.
     bool listed = false, missing = false, hired = false;  // hired: rented by this leader
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "bookkeeping/ledger.h"
+#include "membership/records.h"
 #include "transport/one_shot.h"
 
 namespace weirmill {
@@ -27,7 +28,8 @@
       lease_s_(properties.election_lease_s),
       started_(steady_now()),
       state_(state),
-      events_(std::move(events)) {
+      events_(std::move(events)),
+      wake_(io) {
     asio::co_spawn(io, run(), asio::detached);
 }
 
@@ -55,7 +57,9 @@
             co_await hold();
             events_.lost();
             learn("", 0);
-            tenure_.reset();
+            // The tenure has ended before the state service hears of it, and is never taken up again.
+            auto tenure = std::exchange(tenure_, nullptr);
+            if (tenure->yields) co_await give_up_leadership(tenure->token, *tenure->yields);
             pause = jitter(0.2, 0.6);
         } else if (!leader_.empty()) {
             auto watched = co_await state_.watch(kLeaderKey, revision_, 10);
@@ -103,7 +107,8 @@
 }
 
 asio::awaitable<void> Election::campaign() {
-    co_await sleep_s(campaign_delay(steady_now() - started_) + jitter(0.0, kCampaignSpread_s));
+    double wait = events_.campaign_wait ? co_await events_.campaign_wait() : 0;
+    if (wait >= 0) co_await sleep_s(wait + campaign_delay(steady_now() - started_) + jitter(0.0, kCampaignSpread_s));
     double started = steady_now();
     auto lease = co_await state_.grant(lease_s_, kCall_s);
     if (!lease) co_return;
@@ -129,7 +134,9 @@
     events_.won(tenure);
     double pause = lease_s_ / 4;
     while (!tenure->ended) {
-        co_await sleep_s(pause);
+        wake_.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+            std::chrono::duration<double>(pause)));
+        co_await wake_.async_wait(asio::as_tuple(asio::use_awaitable));
         if (tenure->ended) break;
         double started = steady_now();
         auto renewed = co_await state_.renew(tenure->lease, std::max(0.3, lease_s_ / 4));
@@ -149,4 +156,19 @@
     spdlog::info("election: lost token={}", tenure->token);
 }
 
+void Election::yield(HandOvers to) {
+    if (!tenure_ || tenure_->ended) return;
+    tenure_->yields = std::move(to);
+    tenure_->ended = true;
+    wake_.cancel();
+}
+
+// Without an answer nothing is lost: the lease is not renewed any more.
+asio::awaitable<void> Election::give_up_leadership(uint64_t token, HandOvers to) {
+    auto txn = yield_leadership(kLeaderKey, token, to);
+    auto result = co_await state_.txn(std::move(txn), kCall_s);
+    spdlog::info("election: yields token={} to {} for the {}. time{}", token, to.to, to.count,
+                 result ? "" : ", not confirmed");
+}
+
 }  // namespace weirmill
--- a/src/coordination/election.h
+++ b/src/coordination/election.h
@@ -8,6 +8,7 @@
 
 #include "bookkeeping/state_client.h"
 #include "bookkeeping/tables.h"
+#include "membership/decide.h"
 #include "settings/settings.h"
 
 namespace weirmill {
@@ -19,6 +20,7 @@
     double won = 0;         // no earlier leader held the lease after this
     double sure_until = 0;  // before this no other leader can exist
     bool ended = false;     // another leader may exist, for good
+    std::optional<HandOvers> yields;  // it ends as another is to lead
 };
 
 // How far a steady clock may run from another, with room for timers that fire late.
@@ -66,10 +68,14 @@
     struct Events {
         std::function<void(std::shared_ptr<Tenure>)> won;
         std::function<void()> lost;
+        // How long this controller lets others go first in a campaign, seconds; negative: it waits for nobody.
+        std::function<boost::asio::awaitable<double>()> campaign_wait;
     };
     Election(boost::asio::io_context& io, const Settings& settings, const Properties& properties,
              StateClient& state, Events events);
 
+    // Ends this controller's tenure, which has settled what it could, in favour of another.
+    void yield(HandOvers to);
     // Who leads as far as this node knows; empty: nobody.
     const std::string& leader() const { return leader_; }
     uint64_t token() const { return token_; }
@@ -81,6 +87,7 @@
     boost::asio::awaitable<bool> observe();
     boost::asio::awaitable<void> campaign();
     boost::asio::awaitable<void> hold();
+    boost::asio::awaitable<void> give_up_leadership(uint64_t token, HandOvers to);
     void learn(const std::string& leader, uint64_t token);
 
     boost::asio::io_context& io_;
@@ -94,6 +101,7 @@
     uint64_t revision_ = 0;
     uint64_t unsure_lease_ = 0;  // of a campaign whose outcome is unknown
     std::shared_ptr<Tenure> tenure_;
+    boost::asio::steady_timer wake_;  // of the loop that renews
 };
 
 }  // namespace weirmill
--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -19,19 +19,23 @@
 constexpr double kPing_s = 1.0;
 constexpr double kDeaf_s = 6;     // a follower this long without its leader sends users elsewhere
 constexpr double kSlow_s = 0.15;  // answers later than this are logged at debug
-constexpr size_t kMaxRelayed = 10000;
+constexpr double kWorker_s = 1.5;  // for commands that are passed on to a worker
 
 // Arguments of awaited calls are named variables throughout: GCC 12 destroys aggregates that are written
 // in place inside a co_await expression twice.
 }  // namespace
 
 Front::Front(asio::io_context& io, const Settings& settings, const Properties& properties)
-    : io_(io), settings_(settings), properties_(properties), state_(io, settings) {
+    : io_(io), settings_(settings), properties_(properties), state_(io, settings), roster_(settings) {
     heard_leader_ = steady_now();
     Election::Events events;
     events.won = [this](std::shared_ptr<Tenure> tenure) {
         tenure_ = tenure;
         leader_ = std::make_shared<Leader>(io_, settings_, properties_, state_, metrics_, tenure);
+        leader_->pass_on = [this](std::string name, PeerCall call) -> asio::awaitable<bool> {
+            auto reply = co_await by_peer(std::move(name), std::move(call));
+            co_return reply.status == 200;
+        };
         leader_->start();
     };
     events.lost = [this] {
@@ -40,15 +44,13 @@
         tenure_.reset();
         heard_leader_ = steady_now();
     };
+    events.campaign_wait = [this] { return membership_->campaign_wait(); };
+    set_up_membership();
     election_ = std::make_unique<Election>(io, settings_, properties_, state_, std::move(events));
     door_ = std::make_unique<Door>(io, settings_, properties_, state_, metrics_,
                                    [this] { return leader_ && leader_->ready(); });
     peers_in_ =
-        std::make_unique<PeerServer>(io, settings.peer, [this](PeerCall call) -> asio::awaitable<PeerReply> {
-            if (call.op == PeerOp::Ping) co_return who_leads();
-            if (auto leader = leader_) co_return co_await leader->ask(std::move(call));
-            co_return PeerReply{503, "{}", 1, 0, true};
-        });
+        std::make_unique<PeerServer>(io, settings.peer, [this](PeerCall call) { return from_peer(std::move(call)); });
     // Some sockets are kept for the state service, the cloud, workers and peers.
     http_ = std::make_unique<HttpServer>(io, settings.api, std::max(16, settings.max_sockets - 64),
                                          [this](HttpRequest r) { return handle(std::move(r)); });
@@ -57,6 +59,28 @@
                  settings.peers.size());
 }
 
+void Front::set_up_membership() {
+    Membership::Hooks hooks;
+    hooks.workers = [this] {
+        double now = steady_now();
+        if (leader_ && leader_->ready())
+            return leader_links(leader_->tables(), membership_->times(), settings_.lease_s, now);
+        LinkReport r;
+        r.direct = roster_.stranded(leader_token(), membership_->times().cycle_s, now);
+        return r;
+    };
+    hooks.leads_since = [this]() -> std::optional<double> {
+        if (!leader_ || !leader_->ready() || !leader_->sure(steady_now())) return std::nullopt;
+        return tenure_->won;
+    };
+    hooks.hand_over = [this](HandOvers to) {
+        leader_->hand_over([this, to, tenure = std::weak_ptr(tenure_)] {
+            if (auto held = tenure.lock(); held && held == tenure_) election_->yield(to);
+        });
+    };
+    membership_ = std::make_unique<Membership>(io_, settings_, properties_, state_, metrics_, std::move(hooks));
+}
+
 PeerClient* Front::link_to(const std::string& name) {
     if (auto it = links_.find(name); it != links_.end()) return it->second.get();
     for (auto& p : settings_.peers)
@@ -68,14 +92,98 @@
 
 // The answer to a ping: 200 from the leader itself, else whom this node takes for it.
 PeerReply Front::who_leads() const {
-    if (leader_ && leader_->sure(steady_now())) return {200, settings_.name, 0, leader_->token()};
-    return {503, leader_name(), 1, leader_token()};
+    PeerReply reply{503, leader_name(), 1, leader_token()};
+    if (leader_ && leader_->sure(steady_now())) reply = {200, settings_.name, 0, leader_->token()};
+    if (membership_->enabled()) reply.links = membership_->own(steady_now());
+    return reply;
+}
+
+asio::awaitable<PeerReply> Front::from_peer(PeerCall call) {
+    if (call.op == PeerOp::Ping) {
+        if (!call.sender.empty()) membership_->heard(call.sender, call.links);
+        co_return who_leads();
+    }
+    if (call.op == PeerOp::Command) co_return co_await pass_command(std::move(call));
+    if (auto leader = leader_; leader && (leader->sure(steady_now()) || !call.via))
+        co_return co_await leader->ask(std::move(call));
+    if (call.via) {
+        // Who asks can't reach the leader, and may not reach the state service: nobody passes it on again.
+        if (call.op == PeerOp::Report) co_return co_await to_leader(std::move(call));
+        co_return co_await serve(std::move(call));
+    }
+    co_return PeerReply{503, "{}", 1, 0, true};
+}
+
+asio::awaitable<bool> Front::to_worker(const std::string& addr, std::string body) {
+    try {
+        HttpClient worker(io_, Endpoint::parse(addr, "worker"), 1024 * 1024);
+        auto reply = co_await worker.request("POST", paths::kCommands, std::move(body), kWorker_s);
+        co_return reply.has_value();
+    } catch (const SettingsError& e) {
+        spdlog::error("worker: bad address {}: {}", addr, e.what());
+    }
+    co_return false;
+}
+
+// Stops for a worker that the leader can't reach. Like any that it sends itself they name token, session and attempt,
+// so a late or second copy does no harm.
+asio::awaitable<PeerReply> Front::pass_command(PeerCall call) {
+    metrics_.count("stops_passed_on_total");
+    std::string body = call.body;
+    if (co_await to_worker(call.subject, std::move(body))) co_return PeerReply{200, "{}"};
+    if (!call.via) {
+        auto from = call.sender;
+        call.via = true;
+        for (auto& p : membership_->views(steady_now())) {
+            if (!p.heard || p.name == from) continue;
+            PeerCall again = call;
+            auto reply = co_await by_peer(p.name, std::move(again));
+            if (reply.status == 200) co_return reply;
+        }
+    }
+    co_return PeerReply{503, "{}"};
+}
+
+std::optional<std::string> Front::way_for(const PeerCall& call) const {
+    if (!membership_->enabled() || call.via) return std::nullopt;
+    auto views = membership_->views(steady_now());
+    if (auto way = way_to_leader(leader_name(), views)) return way;
+    return membership_->reaches_state(steady_now()) ? std::nullopt : way_to_state(views);
+}
+
+asio::awaitable<PeerReply> Front::by_peer(std::string name, PeerCall call) {
+    auto* link = link_to(name);
+    if (!link) co_return PeerReply{503, "{}", 1, 0, true};
+    call.sender = settings_.name;
+    auto reply = co_await link->call(std::move(call), kForward_s);
+    if (!reply) {
+        membership_->silent(name);
+        co_return PeerReply{503, R"({"error":"no way to the leader"})", 1, 0, true};
+    }
+    co_return *reply;
+}
+
+bool Front::leader_deaf() const {
+    auto links = membership_->view(leader_name(), steady_now());
+    return links && links->told && links->known > 0 && 2 * links->direct < links->known;
 }
 
 asio::awaitable<PeerReply> Front::to_leader(PeerCall call) {
     if (auto leader = leader_) co_return co_await leader->ask(std::move(call));
     auto* link = leader_link();
+    if (!link || leader_silent()) {
+        if (auto way = way_for(call)) {
+            metrics_.count("second_hops_total");
+            call.via = true;
+            auto reply = co_await by_peer(*way, std::move(call));
+            if (!reply.undecided) heard_leader_ = steady_now();
+            co_return reply;
+        }
+        // It is asked again each second: until it answers, nobody waits for it.
+        if (membership_->enabled()) link = nullptr;
+    }
     if (!link) co_return PeerReply{503, R"({"error":"no leader"})", 1, 0, true};
+    call.sender = settings_.name;
     double asked = steady_now();
     auto token = leader_token();
     bool submits = call.op == PeerOp::Submit;
@@ -126,8 +234,7 @@
         if (!reply.undecided) co_return reply;
         co_return co_await door_->serve(std::move(again));
     }
-    bool silent = !leader_link() || (silent_token_ != 0 && silent_token_ == leader_token());
-    if (silent) co_return co_await door_->serve(std::move(again));
+    if (!leader_link() || leader_silent()) co_return co_await door_->serve(std::move(again));
     // The leader goes on while the door begins: what both take is one job, as their records exclude each
     // other.
     bool submits = call.op == PeerOp::Submit;
@@ -144,11 +251,15 @@
 
 asio::awaitable<bool> Front::ask_peer(std::string name) {
     PeerCall ping;
+    ping.sender = settings_.name;
+    if (membership_->enabled()) ping.links = membership_->own(steady_now());
     auto reply = co_await link_to(name)->call(std::move(ping), 1.0);
     if (!reply) {
         if (name == leader_name()) silent_token_ = leader_token();
+        membership_->silent(name);
         co_return false;
     }
+    membership_->heard(name, reply->links);
     if (reply->token > std::max(told_token_, election_->as_of()) && !reply->body.empty()) {
         spdlog::info("node: {} says that {} leads with token={}", name, reply->body, reply->token);
         told_leader_ = reply->body;
@@ -173,6 +284,11 @@
             tenure_->ended = true;
             continue;
         }
+        if (membership_->enabled()) {
+            if (!leader_link() && !leader_) heard_leader_ = steady_now();
+            for (auto& p : settings_.peers) asio::co_spawn(io_, ask_peer(p.name), asio::detached);
+            continue;
+        }
         if (leader_ && leader_->sure(steady_now())) continue;
         if (!leader_link() && !leader_)
             heard_leader_ = steady_now();  // an election: soon over, and no other node would serve better
@@ -183,6 +299,13 @@
 }
 
 bool Front::healthy() const {
+    // A leader that the state service refuses alone, while its peers refuse it too, is of use to nobody: it used to
+    // keep its users for as long as that lasted.
+    if (membership_->enabled() && leader_ && !leader_->sure(steady_now())) {
+        double now = steady_now();
+        bool alone = membership_->views(now).empty() && !settings_.peers.empty();
+        if (alone && now - state_.answered_at() > kDeaf_s) return false;
+    }
     if (leader_ || door_->open()) return true;
     return steady_now() - heard_leader_ < kDeaf_s;
 }
@@ -191,6 +314,8 @@
     std::map<std::string, double> gauges{{"leading", leader_ ? 1 : 0},
                                          {"token", static_cast<double>(leader_token())}};
     if (leader_ && leader_->ready()) leader_->gauges(gauges);
+    if (membership_->enabled()) membership_->gauges(gauges);
+    gauges["workers_relayed"] = static_cast<double>(roster_.relayed(steady_now()));
     HttpReply reply{200, metrics_.text(gauges)};
     reply.content_type = "text/plain; version=0.0.4";
     return reply;
@@ -259,26 +384,16 @@
         spdlog::error("worker: malformed report from {} refused: {}", r.from, e.what());
         co_return HttpReply{400, "{}"};
     }
-    if (!leader_link()) co_return HttpReply{421, redirect_answer("")};
     double now = steady_now();
-    auto it = relayed_.find(head.machine);
-    bool relay = it != relayed_.end() && now < it->second.until;
-    if (!relay && head.token != 0 && head.token >= leader_token()) {
-        // It knows the leader and yet comes here: it can't reach it. We may be able to. From time to time
-        // it is sent to the leader again, more rarely every time that it comes back.
-        if (relayed_.size() > kMaxRelayed) relayed_.clear();
-        auto& entry = relayed_[head.machine];
-        bool again = entry.until > 0 && now - entry.until < 3 * settings_.lease_s;
-        entry.span = again ? std::min(entry.span * 2, 300.0) : std::max(10.0, settings_.lease_s);
-        entry.until = now + entry.span;
-        relay = true;
-    }
+    bool relay = roster_.relays(head.machine, head.token, leader_token(), now);
+    if (!leader_link()) co_return HttpReply{421, redirect_answer("")};
+    relay = relay || leader_deaf();
     if (relay) {
         PeerCall call{PeerOp::Report, std::move(r.from), std::move(r.body)};
         auto reply = co_await to_leader(std::move(call));
         // An answer of an older leader than the worker knows would be dropped, and its lease run out here.
         if (reply.status == 200 && reply.token >= head.token) co_return HttpReply{200, std::move(reply.body)};
-        relayed_.erase(head.machine);
+        roster_.gave_up(head.machine);
         co_return HttpReply{421, redirect_answer("")};
     }
     co_return HttpReply{421, redirect_answer(leader_name())};
--- a/src/coordination/front.h
+++ b/src/coordination/front.h
@@ -7,6 +7,8 @@
 #include "coordination/election.h"
 #include "coordination/leader.h"
 #include "doors/door.h"
+#include "membership/membership.h"
+#include "membership/roster.h"
 #include "transport/http_server.h"
 #include "transport/peer_link.h"
 
@@ -19,15 +21,21 @@
     uint16_t peer_port() const { return peers_in_->port(); }
 
   private:
-    struct Relayed {  // a worker that came back although it was sent to the leader
-        double until = 0, span = 0;
-    };
-
     boost::asio::awaitable<HttpReply> handle(HttpRequest request);
     boost::asio::awaitable<HttpReply> route(HttpRequest request, const char*& kind);
     HttpReply metrics_page() const;
     boost::asio::awaitable<HttpReply> handle_report(HttpRequest request);
+    boost::asio::awaitable<PeerReply> from_peer(PeerCall call);
     boost::asio::awaitable<PeerReply> to_leader(PeerCall call);
+    boost::asio::awaitable<PeerReply> by_peer(std::string name, PeerCall call);
+    // The peer through which this call may reach the leader, where this controller can't.
+    std::optional<std::string> way_for(const PeerCall& call) const;
+    boost::asio::awaitable<bool> to_worker(const std::string& addr, std::string body);
+    boost::asio::awaitable<PeerReply> pass_command(PeerCall call);
+    bool leader_silent() const { return silent_token_ != 0 && silent_token_ == leader_token(); }
+    void set_up_membership();
+    // Far too few workers come to the leader themselves: one that comes here is not sent there.
+    bool leader_deaf() const;
     boost::asio::awaitable<void> forward(PeerCall call, OneShot<PeerReply> out);
     boost::asio::awaitable<std::optional<PeerReply>> while_heard(OneShot<PeerReply> forwarded, double started,
                                                                  double most_s);
@@ -58,7 +66,8 @@
     std::unique_ptr<Door> door_;
     std::unique_ptr<PeerServer> peers_in_;
     std::unique_ptr<HttpServer> http_;
-    std::map<std::string, Relayed> relayed_;
+    std::unique_ptr<Membership> membership_;
+    Roster roster_;
     Metrics metrics_;
     double heard_leader_ = 0;    // when the leader last answered this node
     uint64_t silent_token_ = 0;  // the leader with this token was asked, and did not answer, since
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -17,6 +17,7 @@
 constexpr int kSegmentsAPage = 50;
 const std::string kOldJobs = "j/";
 constexpr double kAsk_s = 2.0;
+constexpr double kSettle_s = 0.6;
 
 }  // namespace
 
@@ -141,6 +142,7 @@
         if (dirty_ && now_ >= next_schedule_) schedule();
         flush_stops();
         flush();
+        if (settled_) settle();
     }
 }
 
@@ -218,18 +220,39 @@
     }
 }
 
+// ---- a hand-over ----
+
+void Leader::hand_over(std::function<void()> settled) {
+    if (!ready_) return settled();
+    post(HandOver{std::move(settled)});
+}
+
+void Leader::handle(HandOver& m) {
+    settled_ = std::move(m.settled);
+    settle_until_ = now_ + kSettle_s;
+    // What users asked for goes on to the next leader, as at any end of a tenure: it is under way or asked again.
+    ready_ = false;
+}
+
+// Records that are under way or waiting are written first: the next leader would else do the work again.
+void Leader::settle() {
+    if ((flushing_ || ledger_.waiting()) && now_ < settle_until_) return;
+    auto settled = std::exchange(settled_, nullptr);
+    settled();
+}
+
 // ---- decisions ----
 
 void Leader::schedule() {
     next_schedule_ = now_ + properties_.scheduling_pause_s;
-    if (!sure(now_)) return;
+    if (!decides()) return;
     dirty_ = false;
     ++passes_;
     place_waiting(tables_, usable_now(), now_);
 }
 
 void Leader::preempt() {
-    if (!sure(now_)) return;
+    if (!decides()) return;
     auto round = plan_preemption(tables_, usable_now(), now_);
     if (round.clearings.empty()) return;
     ++rounds_;
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -38,9 +38,16 @@
 
     bool ready() const { return ready_; }
     bool sure(double now) const { return !tenure_->ended && now < tenure_->sure_until; }
+    bool decides() const { return sure(now_) && !settled_; }
     uint64_t token() const { return tenure_->token; }
     void gauges(std::map<std::string, double>& out) const;
 
+    // Settles what is under way and starts nothing more, then calls `settled`.
+    void hand_over(std::function<void()> settled);
+    const Tables& tables() const { return tables_; }
+    // Passes a call on to the controller with this name, for workers whose reports it relays.
+    std::function<boost::asio::awaitable<bool>(std::string, PeerCall)> pass_on;
+
     // What users and workers ask for, from this node's own door or over the peer link.
     boost::asio::awaitable<PeerReply> ask(PeerCall call);
 
@@ -90,8 +97,11 @@
         bool done = false;
     };
     struct Tick {};
+    struct HandOver {
+        std::function<void()> settled;
+    };
     using Message = std::variant<Tick, Asked, FinalRead, DependenciesRead, TxnDone, TxnUnsure, InboxChanged,
-                                 TypesRead, ListRead, Rented, RentPassDone, Returned>;
+                                 TypesRead, ListRead, Rented, RentPassDone, Returned, HandOver>;
     using Mailbox = boost::asio::experimental::channel<void(boost::system::error_code, Message)>;
 
     struct Held {  // a worker's report that waits for records before it is answered
@@ -121,7 +131,8 @@
     boost::asio::awaitable<void> list_loop(std::shared_ptr<Leader> self);
     boost::asio::awaitable<void> rent(std::shared_ptr<Leader> self, std::vector<Rental> rentals);
     boost::asio::awaitable<void> give_back(std::shared_ptr<Leader> self, std::vector<std::string> names);
-    boost::asio::awaitable<void> send_stops(std::shared_ptr<Leader> self, std::string addr, std::string body);
+    boost::asio::awaitable<void> send_stops(std::shared_ptr<Leader> self, std::string addr, std::string by,
+                                             std::string body);
     boost::asio::awaitable<std::optional<HttpAnswer>> cloud_call(const char* method, std::string target,
                                                                  std::string body, double timeout_s);
 
@@ -138,6 +149,8 @@
     void handle(RentPassDone&);
     void handle(Returned& m);
     void handle(Tick&);
+    void handle(HandOver& m);
+    void settle();
 
     void submit(PeerCall& call, Reply& reply);
     // What a new job waits for, as far as this leader knows.
@@ -229,6 +242,8 @@
     size_t queued_ = 0;  // messages in the mailbox
     bool ready_ = false, stopped_ = false;
     double now_ = 0;
+    std::function<void()> settled_;  // handing over: called once nothing is under way
+    double settle_until_ = 0;
 
     RateBudget writes_, cloud_budget_;
     double cloud_pause_until_ = 0;
--- a/src/coordination/leader_fleet.cpp
+++ b/src/coordination/leader_fleet.cpp
@@ -145,7 +145,7 @@
 }
 
 void Leader::size_fleet() {
-    if (!tables_.types_known || !listed_once_ || !sure(now_)) return;
+    if (!tables_.types_known || !listed_once_ || !decides()) return;
     SizingSettings sizing{properties_.idle_keep_boots, settings_.report_s};
     if (!returning_) {
         auto idle = plan_returns(tables_, sizing, now_);
--- a/src/coordination/leader_tasks.cpp
+++ b/src/coordination/leader_tasks.cpp
@@ -135,14 +135,20 @@
         if (!m || !m->up || m->addr.empty()) continue;
         asio::co_spawn(
             io_,
-            send_stops(shared_from_this(), m->addr, direct_commands(tenure_->token, m->session, commands)),
+            send_stops(shared_from_this(), m->addr, m->relayed_by, direct_commands(tenure_->token, m->session, commands)),
             asio::detached);
     }
     direct_.clear();
 }
 
-asio::awaitable<void> Leader::send_stops(std::shared_ptr<Leader> self, std::string addr, std::string body) {
+// By the controller that relays for the worker, where there is one: the worker can't be reached from here, as it seems.
+asio::awaitable<void> Leader::send_stops(std::shared_ptr<Leader> self, std::string addr, std::string by,
+                                         std::string body) {
     (void)self;
+    if (!by.empty() && pass_on) {
+        PeerCall call{PeerOp::Command, addr, body};
+        if (co_await pass_on(std::move(by), std::move(call))) co_return;
+    }
     try {
         HttpClient worker(io_, Endpoint::parse(addr, "worker"), 1024 * 1024);
         co_await worker.request("POST", paths::kCommands, std::move(body), 2.0);
--- a/src/coordination/leader_users.cpp
+++ b/src/coordination/leader_users.cpp
@@ -35,6 +35,7 @@
         case PeerOp::Report:
             return report(m.call, m.reply);
         case PeerOp::Ping:
+        case PeerOp::Command:
             break;  // answered by the node itself
     }
     m.reply.set({400, "{}"});
--- a/src/coordination/leader_workers.cpp
+++ b/src/coordination/leader_workers.cpp
@@ -36,6 +36,8 @@
     auto index = tables_.add_machine(r.machine, now_);
     auto& m = *tables_.machines[index];
     m.addr = r.addr;
+    m.relayed_by = call.sender;
+    if (call.sender.empty()) m.direct_at = now_;
     if (m.type == kNone || m.size == Resources{}) tables_.describe_machine(m, r.type, r.zone, r.spot);
     if (r.token > tenure_->token) {
         spdlog::info("worker: {} has seen token={}, later than ours", r.machine, r.token);
--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,218 @@
+#include "membership/membership.h"
+
+#include <spdlog/spdlog.h>
+
+#include <boost/asio.hpp>
+
+#include "membership/records.h"
+#include "transport/one_shot.h"
+
+namespace weirmill {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr double kTick_s = 0.5;
+constexpr double kProbe_s = 1.0;   // the state service is asked for a word after this long without one
+constexpr double kRead_s = 0.8;
+constexpr double kHint_s = 0.15;   // a campaign does not wait longer for what the last hand-over was
+constexpr double kRecord_s = 4.0;  // lease of a record of links
+constexpr double kRenew_s = 1.0;
+// A record is written anew where a count moved by this share.
+constexpr uint32_t kMovedShare = 10;
+
+bool moved(uint32_t a, uint32_t b) { return a > b ? (a - b) * kMovedShare > a : (b - a) * kMovedShare > b; }
+
+bool moved(const LinkReport& a, const LinkReport& b) {
+    return a.state != b.state || a.hears != b.hears || moved(a.direct, b.direct) || moved(a.reach, b.reach);
+}
+
+}  // namespace
+
+LinkReport leader_links(const Tables& tables, const LinkTimes& times, double lease_s, double now) {
+    LinkReport r;
+    for (auto& m : tables.machines) {
+        if (!m || m->last_report <= 0) continue;
+        r.direct += m->direct_at > 0 && now - m->direct_at < times.heard_s;
+        r.reach += now - m->last_report < times.heard_s;
+        r.known += now - m->last_report < lease_s;
+    }
+    return r;
+}
+
+Membership::Membership(asio::io_context& io, const Settings& settings, const Properties& properties,
+                       StateClient& state, Metrics& metrics, Hooks hooks)
+    : io_(io),
+      settings_(settings),
+      properties_(properties),
+      times_(LinkTimes::of(settings)),
+      state_(state),
+      metrics_(metrics),
+      hooks_(std::move(hooks)) {
+    for (auto& p : settings.peers) peers_[p.name];
+    if (enabled()) asio::co_spawn(io_, run(), asio::detached);
+}
+
+LinkReport Membership::own(double now) const {
+    LinkReport r = hooks_.workers();
+    r.told = enabled();
+    r.state = reaches_state(now);
+    for (auto& [name, p] : peers_)
+        if (now - p.heard_at < times_.fresh_s) r.hears.push_back(name);
+    if (!hooks_.leads_since()) r.reach = reach_through(r.direct, views(now));
+    return r;
+}
+
+std::optional<LinkReport> Membership::view(const std::string& peer, double now) const {
+    auto it = peers_.find(peer);
+    if (it == peers_.end()) return std::nullopt;
+    auto& p = it->second;
+    if (now - p.heard_at < times_.fresh_s) return p.links;
+    if (now - p.recorded_at < times_.fresh_s) return p.recorded;
+    return std::nullopt;
+}
+
+std::vector<PeerView> Membership::views(double now) const {
+    std::vector<PeerView> out;
+    for (auto& [name, p] : peers_)
+        if (auto links = view(name, now)) out.push_back({name, *links, now - p.heard_at < times_.fresh_s});
+    return out;
+}
+
+void Membership::heard(const std::string& peer, const LinkReport& links) {
+    auto it = peers_.find(peer);
+    if (it == peers_.end()) return;
+    auto& p = it->second;
+    double now = steady_now();
+    if (enabled() && now - p.heard_at > times_.fresh_s) spdlog::info("links: {} is heard", peer);
+    p.heard_at = now;
+    p.links = links;
+}
+
+void Membership::silent(const std::string& peer) {
+    auto it = peers_.find(peer);
+    if (it == peers_.end()) return;
+    ++it->second.lost;
+}
+
+bool Membership::hears(const std::string& peer, double now) const {
+    auto it = peers_.find(peer);
+    return it != peers_.end() && now - it->second.heard_at < times_.fresh_s;
+}
+
+asio::awaitable<void> Membership::read_hand_overs(double timeout_s) {
+    auto item = co_await state_.get(kYieldKey, timeout_s);
+    try {
+        if (item) last_ = parse_hand_overs(item.value.value);
+        if (item.outcome == StateOutcome::Missing) last_ = {};
+    } catch (const BadMessage& e) {
+        spdlog::error("links: malformed record {}: {}", kYieldKey, e.what());
+    }
+}
+
+asio::awaitable<void> Membership::read_records() {
+    auto page = co_await state_.list(kLinkKeys, "", 100, kRead_s);
+    if (!page) co_return;
+    double now = steady_now();
+    for (auto& item : page.value.items) {
+        auto it = peers_.find(item.key.substr(kLinkKeys.size()));
+        if (it == peers_.end()) continue;
+        try {
+            it->second.recorded = parse_link_record(item.value);
+            it->second.recorded_at = now;
+        } catch (const BadMessage& e) {
+            spdlog::error("links: malformed record {}: {}", item.key, e.what());
+        }
+    }
+}
+
+asio::awaitable<void> Membership::publish(LinkReport links) {
+    if (lease_ != 0) {
+        auto renewed = co_await state_.renew(lease_, kRead_s);
+        if (renewed.outcome == StateOutcome::Missing) lease_ = 0;
+        if (renewed && !moved(links, published_)) co_return;
+    }
+    if (lease_ == 0) {
+        auto lease = co_await state_.grant(kRecord_s, kRead_s);
+        if (!lease) co_return;
+        lease_ = lease.value;
+    }
+    auto txn = link_record(settings_.name, links, lease_);
+    auto result = co_await state_.txn(std::move(txn), kRead_s);
+    if (result) published_ = std::move(links);
+    if (result.outcome == StateOutcome::Invalid) lease_ = 0;  // it ended before
+}
+
+asio::awaitable<void> Membership::run() {
+    double next = 0;
+    for (;;) {
+        co_await sleep_s(kTick_s);
+        double now = steady_now();
+        if (now - state_.answered_at() > kProbe_s) co_await read_hand_overs(kRead_s);
+        now = steady_now();
+        bool apart = std::any_of(peers_.begin(), peers_.end(),
+                                 [&](auto& p) { return now - p.second.heard_at >= times_.fresh_s; });
+        if (apart && now >= next && reaches_state(now)) {
+            next = now + kRenew_s;
+            co_await read_records();
+            auto links = own(steady_now());
+            // One that no worker needs has nothing to say that its silence does not.
+            if (!hooks_.leads_since() && links.reach > 0) co_await publish(std::move(links));
+        }
+        co_await consider(steady_now());
+    }
+}
+
+asio::awaitable<void> Membership::consider(double now) {
+    auto since = hooks_.leads_since();
+    if (!since || now - *since < times_.cycle_s) {
+        better_.clear();
+        co_return;
+    }
+    auto mine = own(now);
+    auto others = views(now);
+    auto better = better_leader(mine, others);
+    if (!better) {
+        better_.clear();
+        co_return;
+    }
+    if (better_ != *better) {
+        better_ = *better;
+        better_since_ = now;
+    }
+    if (now - better_since_ < times_.firm_s) co_return;
+    co_await read_hand_overs(kRead_s);
+    if (!reaches_state(steady_now())) co_return;
+    double wall = wall_now();
+    if (!may_hand_over(last_, times_, settings_.clock_off_ms / 1000, wall)) co_return;
+    if (hooks_.leads_since() != since || better_.empty()) co_return;
+    auto theirs = *view(better_, now);
+    spdlog::info("links: hands over to {}: workers direct={} reach={} of {}, there direct={} reach={}", better_,
+                 mine.direct, mine.reach, mine.known, theirs.direct, theirs.reach);
+    metrics_.count("hand_overs_total");
+    hooks_.hand_over(next_hand_over(last_, times_, settings_.name, better_, wall));
+    better_.clear();
+}
+
+asio::awaitable<double> Membership::campaign_wait() {
+    if (!enabled()) co_return 0;
+    co_await read_hand_overs(kHint_s);
+    double now = steady_now();
+    co_return weirmill::campaign_wait(settings_.name, own(now), views(now), last_, settings_.clock_off_ms / 1000,
+                                      wall_now());
+}
+
+void Membership::gauges(std::map<std::string, double>& out) const {
+    double now = steady_now();
+    auto mine = own(now);
+    out["link_state"] = mine.state;
+    out["workers_direct"] = mine.direct;
+    out["workers_reached"] = mine.reach;
+    out["workers_known"] = mine.known;
+    out["peers_heard"] = static_cast<double>(mine.hears.size());
+    out["peer_answers_lost"] = 0;
+    for (auto& [name, p] : peers_) out["peer_answers_lost"] += static_cast<double>(p.lost);
+}
+
+}  // namespace weirmill
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -174,10 +174,14 @@
             throw SettingsError(std::string("properties: ") + row.name + " must lie between " +
                                 std::to_string(row.low) + " and " + std::to_string(row.high));
     }
-    try {
-        p.doors_enabled = file->getBool("doors.enabled", p.doors_enabled);
-    } catch (const Poco::Exception&) {
-        throw SettingsError("properties: doors.enabled must be true or false");
+    const std::pair<const char*, bool*> flags[] = {{"doors.enabled", &p.doors_enabled},
+                                                   {"membership.enabled", &p.membership_enabled}};
+    for (const auto& [name, value] : flags) {
+        try {
+            *value = file->getBool(name, *value);
+        } catch (const Poco::Exception&) {
+            throw SettingsError(std::string("properties: ") + name + " must be true or false");
+        }
     }
     return p;
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -61,6 +61,7 @@
     double scheduling_pause_s = 0.1;
     double quarantine_s = 120.0;
     bool doors_enabled = false;
+    bool membership_enabled = false;
 };
 
 Settings load_settings(const std::string& path);
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -32,6 +32,30 @@
     return {reinterpret_cast<const kj::byte*>(s.data()), s.size()};
 }
 
+void write_links(peer::Links::Builder out, const LinkReport& links) {
+    out.setState(links.state);
+    out.setDirect(links.direct);
+    out.setReach(links.reach);
+    out.setKnown(links.known);
+    auto hears = out.initHears(static_cast<unsigned>(links.hears.size()));
+    for (unsigned i = 0; i < links.hears.size(); ++i) hears.set(i, links.hears[i]);
+}
+
+// A version that knows nothing of links leaves them out.
+template <class Message>
+LinkReport read_links(Message in) {
+    LinkReport links;
+    if (!in.hasLinks()) return links;
+    auto l = in.getLinks();
+    links.told = true;
+    links.state = l.getState();
+    links.direct = l.getDirect();
+    links.reach = l.getReach();
+    links.known = l.getKnown();
+    for (auto name : l.getHears()) links.hears.emplace_back(name.cStr());
+    return links;
+}
+
 }  // namespace
 
 // One connection, either side: a reader hands frames on, a writer drains the queue.
@@ -119,7 +143,8 @@
             if (!frame.isCall()) return;
             auto in = frame.getCall();
             PeerCall call{static_cast<PeerOp>(in.getOp()), std::string(in.getSubject().cStr()),
-                          text_of(in.getBody())};
+                          text_of(in.getBody()), in.getVia(), std::string(in.getSender().cStr()),
+                          read_links(in)};
             asio::co_spawn(
                 wire->socket.get_executor(),
                 [](PeerHandler& handler, std::shared_ptr<Wire> to, uint64_t seq,
@@ -134,6 +159,7 @@
                     r.setRetryAfterS(static_cast<uint16_t>(reply.retry_after_s));
                     r.setToken(reply.token);
                     r.setUndecided(reply.undecided);
+                    if (reply.links.told) write_links(r.initLinks(), reply.links);
                     to->send(frame_text(message));
                 }(handler_, wire->shared_from_this(), frame.getSeq(), std::move(call)),
                 asio::detached);
@@ -181,7 +207,7 @@
                                                auto in = frame.getReply();
                                                it->second.set(PeerReply{in.getStatus(), text_of(in.getBody()),
                                                                         in.getRetryAfterS(), in.getToken(),
-                                                                        in.getUndecided()});
+                                                                        in.getUndecided(), read_links(in)});
                                            }),
                            asio::detached);
             link_ = link;
@@ -196,6 +222,9 @@
     c.setOp(static_cast<peer::Op>(call.op));
     c.setSubject(call.subject);
     c.setBody(data_of(call.body));
+    c.setVia(call.via);
+    if (!call.sender.empty()) c.setSender(call.sender);
+    if (call.links.told) write_links(c.initLinks(), call.links);
     OneShot<PeerReply> answer(io_.get_executor());
     link->waiting.emplace(seq, answer);
     link->wire->send(frame_text(message));
--- a/src/transport/peer_link.h
+++ b/src/transport/peer_link.h
@@ -7,16 +7,20 @@
 #include <optional>
 #include <string>
 
+#include "protocol/links.h"
 #include "settings/settings.h"
 #include "transport/one_shot.h"
 
 namespace weirmill {
 
-enum class PeerOp : uint8_t { Submit, Status, Cancel, Report, Ping };
+enum class PeerOp : uint8_t { Submit, Status, Cancel, Report, Ping, Command };
 
 struct PeerCall {
     PeerOp op = PeerOp::Ping;
     std::string subject, body;
+    bool via = false;    // the sender can't reach the leader: to be passed on, but by the callee alone
+    std::string sender{};  // the controller that calls; empty: this one
+    LinkReport links{};    // with a ping
 };
 
 struct PeerReply {
@@ -25,6 +29,7 @@
     int retry_after_s = 0;
     uint64_t token = 0;
     bool undecided = false;  // who answered does not lead, or not yet, or is unsure of it
+    LinkReport links{};      // to a ping
 };
 
 using PeerHandler = std::function<boost::asio::awaitable<PeerReply>(PeerCall)>;
