--- a/src/bookkeeping/metrics.cpp
+++ b/src/bookkeeping/metrics.cpp
@@ -41,8 +41,14 @@
     }
     for (auto& [name, n] : counts_)
         fmt::format_to(to, "# TYPE weirmill_{0} counter\nweirmill_{0} {1}\n", name, n);
-    for (auto& [name, v] : gauges)
-        fmt::format_to(to, "# TYPE weirmill_{0} gauge\nweirmill_{0} {1}\n", name, v);
+    std::string_view family;
+    for (auto& [name, v] : gauges) {
+        // One line of type for all of a name's labels.
+        auto of = std::string_view(name).substr(0, name.find('{'));
+        if (of != family) fmt::format_to(to, "# TYPE weirmill_{} gauge\n", of);
+        family = of;
+        fmt::format_to(to, "weirmill_{} {}\n", name, v);
+    }
     return out;
 }
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -205,9 +205,10 @@
     out["workers_direct"] = mine.direct;
     out["workers_reached"] = mine.reach;
     out["workers_known"] = mine.known;
-    out["peers_heard"] = static_cast<double>(mine.hears.size());
-    out["peer_answers_lost"] = 0;
-    for (auto& [name, p] : peers_) out["peer_answers_lost"] += static_cast<double>(p.lost);
+    for (auto& [name, p] : peers_) {
+        out[fmt::format("peer_heard{{peer=\"{}\"}}", name)] = now - p.heard_at < times_.fresh_s;
+        out[fmt::format("peer_answers_lost{{peer=\"{}\"}}", name)] = static_cast<double>(p.lost);
+    }
 }
 
 }  // namespace weirmill
--- a/tests/links_service_test.cpp
+++ b/tests/links_service_test.cpp
@@ -193,6 +193,35 @@
     EXPECT_EQ(figure(s, 0, "hand_overs_total"), 0);
 }
 
+TEST(LinksService, HalfOfTheWorkersAreCutFromOneControllerAndHalfFromAnother) {
+    Service s(3, cables());
+    start_work(s);
+    int leader = s.leader().back() - '0', n = 0;
+    for (auto& [name, w] : s.cloud->workers) w->cut_from = n++ % 2 ? leader : (leader + 1) % 3;
+    expect_nothing_lost(s, "halves");
+    EXPECT_EQ(s.leader().back() - '0', leader);  // no other hears more of them
+}
+
+TEST(LinksService, AControllerThatStoodStillWakesWithAnOldViewAndDoesNoHarm) {
+    for (bool leads : {true, false}) {
+        Service s(3, cables());
+        start_work(s);
+        int old = s.leader().back() - '0', still = leads ? old : (old + 1) % 3;
+        Links links{s};
+        links.peers(Is::Refused);
+        s.crash(still);  // nothing of it runs, its connections stand
+        double until = steady_now() + 3;
+        s.until([&] { return steady_now() > until; });
+        s.alive[still] = true;
+        links.workers(still, Is::Held);
+        s.until([&] { return steady_now() > until + 1; });
+        links.workers(still, Is::Up);
+        links.peers(Is::Up);
+        expect_nothing_lost(s, leads ? "frozen leader" : "frozen follower");
+        EXPECT_EQ(s.leader().back() - '0' == old, !leads);
+    }
+}
+
 TEST(LinksService, ALeaderCutFromEverythingButItsUsersSendsThemElsewhere) {
     Service s(3, cables());
     start_work(s);
