Overload: a forecast of each queue, and shorter work first where not all can be in time

Change: src/coordination/overload forecasts for each team and class what waits against what it may count on, with hysteresis; in a pressed queue a job counts as due after a wait in proportion to its work, later ones from when they came.

--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -139,6 +139,12 @@
     double bias = 1, learnt = 0;                       // run time over estimate; weight of the evidence
     std::deque<std::pair<double, uint32_t>> arrivals;  // of recent jobs: when, how many tasks
     JobSpec last;                                      // the newest of them
+    // Of a team's jobs of this class, where more waits than its users can be served with in time: the seconds that a
+    // job waits for each second and unit of its work. 0: not pressed (coordination/overload).
+    struct Pressure {
+        double stretch = 0;
+    };
+    std::vector<Pressure> pressure;  // by team index
 };
 
 struct Refusal {
@@ -207,6 +213,11 @@
     // What a job should still be done by, on the steady clock, given that it can't be before `earliest`;
     // `missed`: how many such times are past saving.
     double due(const Job& job, double earliest, int& missed) const;
+    double stretch(const JobSpec& spec) const {
+        if (spec.job_class >= classes.size()) return 0;
+        auto& p = classes[spec.job_class].pressure;
+        return spec.team < p.size() ? p[spec.team].stretch : 0;
+    }
     // Run time to expect of a task, without its image fetch.
     double expected_run_s(const JobSpec& spec) const;
     void learn_run(const JobSpec& spec, double run_s);
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -81,6 +81,7 @@
     out["machines_up"] = static_cast<double>(up);
     out["tasks_placed"] = static_cast<double>(placed);
     out["tasks_pending"] = static_cast<double>(pending);
+    out["queues_pressed"] = static_cast<double>(forecast_.pressed());
 }
 
 PeerReply Leader::come_back(int seconds) const {
@@ -215,6 +216,7 @@
     }
     if (now_ >= next_sizing_) {
         next_sizing_ = now_ + 1.0;
+        if (properties_.overload_enabled) forecast_.observe(tables_, now_);
         size_fleet();
         dirty_ = true;  // back-offs and quarantines end with time alone
     }
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -10,6 +10,7 @@
 #include "bookkeeping/metrics.h"
 #include "bookkeeping/state_client.h"
 #include "coordination/election.h"
+#include "coordination/overload/forecast.h"
 #include "coordination/placement.h"
 #include "coordination/preemption.h"
 #include "coordination/sizing.h"
@@ -238,6 +239,7 @@
     Mailbox mailbox_;
     Tables tables_;
     Ledger ledger_;
+    Forecast forecast_;
     std::mt19937_64 random_;
     size_t queued_ = 0;  // messages in the mailbox
     bool ready_ = false, stopped_ = false;
--- /dev/null
+++ b/src/coordination/overload/forecast.cpp
@@ -0,0 +1,102 @@
+#include "coordination/overload/forecast.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace weirmill {
+
+namespace {
+
+constexpr double kLearn_s = 30;  // time constant of what a queue has in use
+// A queue is pressed once what waits takes longer than its users expect, and until it takes half of that: between the
+// two it stays what it was, so that a load that swings around capacity does not change the order each time.
+constexpr double kPressed = 1.0, kRelieved = 0.5;
+
+bool by_gpu(const JobSpec& spec) { return spec.need.gpu > 0; }
+double units(const Resources& r, bool gpu) { return static_cast<double>(gpu ? r.gpu : r.cpu) / 1000; }
+
+// What the machines that are there or coming up have of it.
+Resources machines_have(const Tables& tables) {
+    Resources sum;
+    for (auto& m : tables.machines)
+        if (m && !m->doomed && !m->returning && m->type < tables.types.size()) sum += m->size;
+    return sum;
+}
+
+}  // namespace
+
+double waiting_work(const Tables& tables, const Job& job) {
+    return job.pending * units(job.spec.need, by_gpu(job.spec)) * std::max(1.0, tables.expected_run_s(job.spec));
+}
+
+std::map<QueueKey, QueueForecast> forecast(const Tables& tables, const std::map<QueueKey, double>& used) {
+    std::map<QueueKey, QueueForecast> out;
+    std::map<QueueKey, std::pair<bool, double>> deadlines;  // GPUs; sum of the waiting jobs' deadlines
+    for (auto& job : tables.jobs) {
+        if (!job || !job->active() || job->waits) continue;
+        QueueKey key{job->spec.team, job->spec.job_class};
+        bool gpu = by_gpu(job->spec);
+        auto& q = out[key];
+        double each = units(job->spec.need, gpu);
+        q.in_use += each * job->placed;
+        q.wanted += each * (job->placed + job->pending);
+        auto& d = deadlines[key];
+        d.first = gpu;
+        if (job->pending == 0) continue;
+        ++q.jobs;
+        q.waiting += waiting_work(tables, *job);
+        d.second += std::max(0.0, job->spec.deadline_s);
+    }
+    auto have = machines_have(tables);
+    double wanted[2] = {0, 0};
+    for (auto& [key, q] : out) wanted[deadlines[key].first] += q.wanted;
+    for (auto& [key, q] : out) {
+        auto [gpu, sum] = deadlines[key];
+        if (key.job_class < tables.classes.size() && !tables.classes[key.job_class].done_within_s.empty())
+            q.within_s = tables.classes[key.job_class].done_within_s.back();
+        else if (q.jobs > 0)
+            q.within_s = sum / q.jobs;
+        double part = wanted[gpu] > 0 ? units(have, gpu) * q.wanted / wanted[gpu] : 0;
+        double limit = key.team < tables.teams.size() ? units(tables.teams[key.team].limit, gpu) : 0;
+        if (limit > 0) part = std::min(part, limit);
+        auto learned = used.find(key);
+        q.units = std::max({part, q.in_use, learned == used.end() ? 0 : learned->second});
+        if (q.jobs == 0) continue;
+        q.mean_work = q.waiting / q.jobs;
+        q.drain_s = q.units > 0 ? q.waiting / q.units : 0;  // no machine yet: nothing is known
+    }
+    return out;
+}
+
+void Forecast::observe(Tables& tables, double now) {
+    queues_ = forecast(tables, used_);
+    double keep = last_ > 0 ? std::exp(-(now - last_) / kLearn_s) : 0;
+    last_ = now;
+    for (auto& [key, q] : queues_) {
+        auto& used = used_[key];
+        used = used * keep + q.in_use * (1 - keep);
+    }
+    std::erase_if(used_, [&](auto& u) { return !queues_.count(u.first); });
+    pressed_ = 0;
+    for (Index c = 0; c < tables.classes.size(); ++c) {
+        auto& pressure = tables.classes[c].pressure;
+        pressure.resize(tables.teams.size());
+        for (Index t = 0; t < tables.teams.size(); ++t) {
+            auto it = queues_.find({t, c});
+            auto& p = pressure[t];
+            bool was = p.stretch > 0;
+            p.stretch = 0;
+            if (it == queues_.end() || it->second.within_s <= 0 || it->second.mean_work <= 0) continue;
+            auto& q = it->second;
+            bool now_pressed = q.drain_s > q.within_s * (was ? kRelieved : kPressed);
+            if (!now_pressed) continue;
+            // A job of mean size waits as long as the queue takes to drain, others in proportion to their work.
+            p.stretch = q.drain_s / q.mean_work;
+            ++pressed_;
+        }
+    }
+}
+
+size_t Forecast::pressed() const { return pressed_; }
+
+}  // namespace weirmill
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -6,6 +6,7 @@
 #include <tuple>
 
 #include "coordination/fit_queues.h"
+#include "coordination/overload/forecast.h"
 
 namespace weirmill {
 
@@ -52,6 +53,12 @@
         // Among equals, those that can still be in time go first, and of them the one due soonest.
         int missed;
         double due = tables.due(*job, now + tables.expected_run_s(job->spec), missed);
+        // Where they can't all be in time, shorter work goes first, so that as many as can be are; a job waits in
+        // proportion to its work at the most, as later ones count from when they came.
+        if (double stretch = tables.stretch(job->spec); stretch > 0) {
+            missed = 0;
+            due = job->came_at() + stretch * waiting_work(tables, *job);
+        }
         Rank rank{!job->guaranteed, -static_cast<int>(job->priority),
                   !tables.within_guarantee(tables.teams[job->spec.team], job->spec.need), -job->spec.need.gpu,
                   missed};
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -175,7 +175,8 @@
                                 std::to_string(row.low) + " and " + std::to_string(row.high));
     }
     const std::pair<const char*, bool*> flags[] = {{"doors.enabled", &p.doors_enabled},
-                                                   {"membership.enabled", &p.membership_enabled}};
+                                                   {"membership.enabled", &p.membership_enabled},
+                                                   {"overload.enabled", &p.overload_enabled}};
     for (const auto& [name, value] : flags) {
         try {
             *value = file->getBool(name, *value);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -65,6 +65,7 @@
     double quarantine_s = 120.0;
     bool doors_enabled = false;
     bool membership_enabled = false;
+    bool overload_enabled = false;
 };
 
 Settings load_settings(const std::string& path);
--- /dev/null
+++ b/tests/overload_test.cpp
@@ -0,0 +1,210 @@
+// Overload: the forecast of each queue, when it is pressed and when not any more, and the order under pressure.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "coordination/overload/forecast.h"
+#include "coordination/placement.h"
+#include "fixtures.h"
+
+namespace weirmill {
+namespace {
+
+using test::World;
+
+// Classes: `short` is to be done within 60 s, its jobs are those of World::spec but for what is named.
+struct Cluster : World {
+    Index job_class = tables.names.classes.intern("short");
+    Forecast seen;
+    int next = 0;
+    explicit Cluster(int machines) {
+        tables.classes.resize(tables.names.classes.size());
+        tables.classes[job_class].done_within_s = {30, 60};
+        for (int i = 0; i < machines; ++i) machine("vm-" + std::to_string(i));
+    }
+    Index wait(uint32_t tasks, double run_s, const std::string& team = "blue", JobKind kind = JobKind::Array) {
+        auto s = spec("req-" + std::to_string(100000 + next++), kind, tasks, 1, 0, Priority::Normal, team);
+        s.job_class = job_class;
+        s.estimate_s = run_s;
+        return job(s);
+    }
+    QueueForecast look(const std::string& team = "blue") {
+        seen.observe(tables, now);
+        auto& all = seen.queues();
+        auto it = all.find({tables.names.teams.find(team), job_class});
+        return it == all.end() ? QueueForecast{} : it->second;
+    }
+    bool pressed(Index job) { return tables.stretch(tables.jobs[job]->spec) > 0; }
+    std::vector<std::string> order() {
+        std::vector<std::string> ids;
+        for (auto j : waiting_jobs(tables, now)) ids.push_back(tables.jobs[j]->spec.id);
+        return ids;
+    }
+    // Some time goes by in which `cpus` units of what waits are served, in the order of today.
+    int serve(double seconds, double cpus) {
+        int ended = 0;
+        now += seconds;
+        double work = seconds * cpus;
+        for (auto j : waiting_jobs(tables, now)) {
+            auto& job = *tables.jobs[j];
+            double each = std::max(1.0, tables.expected_run_s(job.spec));
+            while (job.pending > 0 && work >= each) {
+                work -= each;
+                uint32_t t = 0;
+                while (job.tasks[t].state != TaskState::Pending) ++t;
+                tables.finish(j, t, now);
+            }
+            if (job.pending > 0) break;
+            tables.remove_job(j, now);
+            ++ended;
+        }
+        return ended;
+    }
+};
+
+TEST(Overload, AQueueIsPressedByWhatWaitsAgainstWhatItCanHave) {
+    struct Row {
+        const char* what;
+        int machines;
+        uint32_t jobs, tasks;
+        double run_s;
+        const char* team;
+        bool pressed;
+    };
+    const Row rows[] = {
+        {"nothing waits", 4, 0, 0, 0, "blue", false},
+        {"a little on four machines", 4, 10, 4, 30, "blue", false},   // 1,200 s on 32 CPUs
+        {"more than they do in a minute", 4, 20, 10, 30, "blue", true},  // 6,000 s on 32
+        {"the same on many machines", 40, 20, 10, 30, "blue", false},
+        {"but not within this team's limit of 32", 40, 20, 10, 30, "red", true},
+        {"no machine is up yet: nothing is known", 0, 20, 10, 30, "blue", false},
+        {"one job of many tasks", 4, 1, 200, 30, "blue", true},
+    };
+    for (auto& row : rows) {
+        Cluster c(row.machines);
+        Index last = kNone;
+        for (uint32_t i = 0; i < row.jobs; ++i) last = c.wait(row.tasks, row.run_s, row.team);
+        auto q = c.look(row.team);
+        EXPECT_EQ(last != kNone && c.pressed(last), row.pressed) << row.what << ": drains in " << q.drain_s;
+        EXPECT_EQ(c.seen.pressed(), row.pressed ? 1u : 0u) << row.what;
+        EXPECT_DOUBLE_EQ(q.waiting, row.jobs * row.tasks * row.run_s) << row.what;
+    }
+}
+
+TEST(Overload, PressureEndsAtHalfOfWhatItBeganAt) {
+    Cluster c(4);
+    auto j = c.wait(1, 30);
+    std::vector<Index> more;
+    auto waits = [&](double seconds) {  // until the queue drains
+        for (auto i : more) c.tables.remove_job(i, c.now);
+        more.clear();
+        for (int n = 1; n * 30 < seconds * 32; ++n) more.push_back(c.wait(1, 30));
+        c.look();
+        return c.pressed(j);
+    };
+    EXPECT_FALSE(waits(50));
+    EXPECT_TRUE(waits(70));
+    // A load that swings around capacity each 20 s does not change the order each time.
+    for (int swing = 0; swing < 6; ++swing) {
+        c.now += 20;
+        EXPECT_TRUE(waits(swing % 2 ? 75 : 45)) << swing;
+    }
+    EXPECT_FALSE(waits(25));
+    EXPECT_FALSE(waits(45));
+}
+
+TEST(Overload, WhatAQueueHadInUseIsRememberedForAWhile) {
+    Cluster c(1);  // 8 CPUs
+    auto j = c.wait(8, 30);
+    c.look();
+    for (uint32_t t = 0; t < 8; ++t) c.tables.place(j, t, 0, 1, c.now);
+    c.now += 100;
+    EXPECT_DOUBLE_EQ(c.look().units, 8);
+    for (uint32_t t = 0; t < 8; ++t) c.tables.vacate(j, t, c.now);
+    c.tables.machines[0]->doomed = true;  // nothing is there any more
+    c.now += 1;
+    double soon = c.look().units;
+    EXPECT_GT(soon, 6);
+    c.now += 120;
+    c.look();
+    c.now += 1;
+    EXPECT_LT(c.look().units, 1);
+}
+
+TEST(Overload, UnderPressureShorterWorkGoesFirstAndOlderWorkIsNotPassedForEver) {
+    Cluster c(1);
+    auto big = c.wait(40, 30), small = c.wait(1, 10), middle = c.wait(10, 30);
+    auto id = [&](Index j) { return c.tables.jobs[j]->spec.id; };
+    c.look();
+    ASSERT_TRUE(c.pressed(big));
+    EXPECT_EQ(c.order(), (std::vector{id(small), id(middle), id(big)}));
+    // Partly served, it has less left.
+    for (uint32_t t = 0; t < 39; ++t) c.tables.finish(big, t, c.now);
+    EXPECT_EQ(c.order(), (std::vector{id(small), id(big), id(middle)}));
+    // One of small work that comes a long while later finds the middle one in front.
+    double stretch = c.tables.stretch(c.tables.jobs[middle]->spec);
+    c.now += stretch * 300 + 10;
+    auto late = c.wait(1, 10);
+    c.tables.classes[c.job_class].pressure[c.tables.jobs[late]->spec.team].stretch = stretch;
+    auto order = c.order();
+    EXPECT_LT(std::find(order.begin(), order.end(), id(middle)), std::find(order.begin(), order.end(), id(late)));
+}
+
+TEST(Overload, WithoutPressureTheOrderIsWhatItWas) {
+    Cluster a(40), b(40);
+    std::mt19937 random(7);
+    for (int i = 0; i < 60; ++i) {
+        uint32_t tasks = 1 + random() % 4;
+        double run = 5 + static_cast<double>(random() % 20);
+        a.now = b.now = 100 + i;
+        a.wait(tasks, run);
+        b.wait(tasks, run);
+    }
+    a.look();
+    EXPECT_EQ(a.seen.pressed(), 0u);
+    EXPECT_EQ(a.order(), b.order());
+}
+
+// Random loads of 1.2 to 16 times what is served: more jobs end than by the order without pressure, by both estimates,
+// no job of small work is left behind, and priorities and guarantees still command.
+TEST(Overload, MoreJobsAreServedOfRandomLoadsAndPrioritiesStillCommand) {
+    std::mt19937 random(11);
+    int better = 0, worse = 0;
+    for (int round = 0; round < 60; ++round) {
+        double load = 1.2 + static_cast<double>(random() % 150) / 10;
+        double bias = round % 3 == 0 ? 0.5 : round % 3 == 1 ? 2 : 1;  // all estimates half, or double
+        int ended[2] = {0, 0};
+        auto seed = random();
+        for (int with = 0; with < 2; ++with) {
+            std::mt19937 same(seed);
+            Cluster c(2);
+            std::lognormal_distribution<double> size(1.5, 1.0), run(3.0, 0.6);
+            for (int step = 0; step < 30; ++step) {
+                for (double come = load * 10 * 16; come > 0;) {
+                    auto tasks = static_cast<uint32_t>(std::clamp(size(same), 1.0, 100.0));
+                    double s = std::clamp(run(same), 2.0, 120.0);
+                    come -= tasks * s;
+                    c.wait(tasks, s * bias);
+                }
+                if (with) c.look();
+                ended[with] += c.serve(10, 16 * bias);
+            }
+            auto ids = c.order();
+            auto high = c.wait(50, 100);
+            c.tables.jobs[high]->priority = Priority::High;
+            auto owed = c.wait(50, 100);
+            c.tables.jobs[owed]->guaranteed = true;
+            auto order = c.order();
+            ASSERT_GE(order.size(), 2u);
+            EXPECT_EQ(order[0], c.tables.jobs[owed]->spec.id);
+            EXPECT_EQ(order[1], c.tables.jobs[high]->spec.id);
+        }
+        better += ended[1] > ended[0];
+        worse += ended[1] < ended[0];
+    }
+    EXPECT_GE(better, 55);
+    EXPECT_LE(worse, 2);
+}
+
+}  // namespace
+}  // namespace weirmill
