--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -54,8 +54,9 @@
         int missed;
         double due = tables.due(*job, now + tables.expected_run_s(job->spec), missed);
         // Where they can't all be in time, shorter work goes first, so that as many as can be are; a job waits in
-        // proportion to its work at the most, as later ones count from when they came.
-        if (double stretch = tables.stretch(job->spec); stretch > 0) {
+        // proportion to its work at the most, as later ones count from when they came. What others wait for keeps
+        // the time by which those need it.
+        if (double stretch = tables.stretch(job->spec); stretch > 0 && job->needed_by > 1e17) {
             missed = 0;
             due = job->came_at() + stretch * waiting_work(tables, *job);
         }
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -138,6 +138,10 @@
     c.look();
     ASSERT_TRUE(c.pressed(big));
     EXPECT_EQ(c.order(), (std::vector{id(small), id(middle), id(big)}));
+    // What a pipeline needs by some time keeps its due time, whatever its size.
+    c.tables.jobs[big]->needed_by = c.now + 100;
+    EXPECT_EQ(c.order(), (std::vector{id(small), id(big), id(middle)}));
+    c.tables.jobs[big]->needed_by = 1e18;
     // Partly served, it has less left.
     for (uint32_t t = 0; t < 39; ++t) c.tables.finish(big, t, c.now);
     EXPECT_EQ(c.order(), (std::vector{id(small), id(big), id(middle)}));
