Overload: pressed where half will be late in any order, until none need be

Change: a queue is pressed where it drains in twice the time expected, relieved where it drains in that time.

--- a/src/coordination/overload/forecast.cpp
+++ b/src/coordination/overload/forecast.cpp
@@ -8,9 +8,10 @@
 namespace {
 
 constexpr double kLearn_s = 30;  // time constant of what a queue has in use
-// A queue is pressed once what waits takes longer than its users expect, and until it takes half of that: between the
-// two it stays what it was, so that a load that swings around capacity does not change the order each time.
-constexpr double kPressed = 1.0, kRelieved = 0.5;
+// A queue is pressed once half of what waits will be late in whatever order, and until none of it need be: between the
+// two it stays what it was, so that a load that swings around capacity does not change the order each time. Pressed at
+// the first late job, large jobs lost deadlines that the order by due times would have kept.
+constexpr double kPressed = 2.0, kRelieved = 1.0;
 
 bool by_gpu(const JobSpec& spec) { return spec.need.gpu > 0; }
 double units(const Resources& r, bool gpu) { return static_cast<double>(gpu ? r.gpu : r.cpu) / 1000; }
