--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -139,8 +139,8 @@
     double bias = 1, learnt = 0;                       // run time over estimate; weight of the evidence
     std::deque<std::pair<double, uint32_t>> arrivals;  // of recent jobs: when, how many tasks
     JobSpec last;                                      // the newest of them
-    // Of a team's jobs of this class, where more waits than its users can be served with in time: the seconds that a
-    // job waits for each second and unit of its work. 0: not pressed (coordination/overload).
+    // Of a team's jobs of this class, where more waits than its users can be served with in time: the seconds
+    // that a job waits for each second and unit of its work. 0: not pressed (coordination/overload).
     struct Pressure {
         double stretch = 0;
     };
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -108,7 +108,8 @@
 
 asio::awaitable<void> Election::campaign() {
     double wait = events_.campaign_wait ? co_await events_.campaign_wait() : 0;
-    if (wait >= 0) co_await sleep_s(wait + campaign_delay(steady_now() - started_) + jitter(0.0, kCampaignSpread_s));
+    if (wait >= 0)
+        co_await sleep_s(wait + campaign_delay(steady_now() - started_) + jitter(0.0, kCampaignSpread_s));
     double started = steady_now();
     auto lease = co_await state_.grant(lease_s_, kCall_s);
     if (!lease) co_return;
--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -16,8 +16,8 @@
 constexpr double kAsked_s = 0.7;  // a leader that has not answered a question by then is not waited for
 constexpr double kBusy_s = 1.0;   // nor is one for a submission, although it is heard of
 constexpr double kProbe_s = 0.05;
-constexpr double kDeaf_s = 6;     // a follower this long without its leader sends users elsewhere
-constexpr double kSlow_s = 0.15;  // answers later than this are logged at debug
+constexpr double kDeaf_s = 6;      // a follower this long without its leader sends users elsewhere
+constexpr double kSlow_s = 0.15;   // answers later than this are logged at debug
 constexpr double kWorker_s = 1.5;  // for commands that are passed on to a worker
 
 // Arguments of awaited calls are named variables throughout: GCC 12 destroys aggregates that are written
@@ -48,8 +48,8 @@
     election_ = std::make_unique<Election>(io, settings_, properties_, state_, std::move(events));
     door_ = std::make_unique<Door>(io, settings_, properties_, state_, metrics_,
                                    [this] { return leader_ && leader_->ready(); });
-    peers_in_ =
-        std::make_unique<PeerServer>(io, settings.peer, [this](PeerCall call) { return from_peer(std::move(call)); });
+    peers_in_ = std::make_unique<PeerServer>(io, settings.peer,
+                                             [this](PeerCall call) { return from_peer(std::move(call)); });
     // Some sockets are kept for the state service, the cloud, workers and peers.
     http_ = std::make_unique<HttpServer>(io, settings.api, std::max(16, settings.max_sockets - 64),
                                          [this](HttpRequest r) { return handle(std::move(r)); });
@@ -77,7 +77,8 @@
             if (auto held = tenure.lock(); held && held == tenure_) election_->yield(to);
         });
     };
-    membership_ = std::make_unique<Membership>(io_, settings_, properties_, state_, metrics_, std::move(hooks));
+    membership_ =
+        std::make_unique<Membership>(io_, settings_, properties_, state_, metrics_, std::move(hooks));
 }
 
 PeerClient* Front::link_to(const std::string& name) {
@@ -124,8 +125,8 @@
     co_return false;
 }
 
-// Stops for a worker that the leader can't reach. Like any that it sends itself they name token, session and attempt,
-// so a late or second copy does no harm.
+// Stops for a worker that the leader can't reach. Like any that it sends itself they name token, session and
+// attempt, so a late or second copy does no harm.
 asio::awaitable<PeerReply> Front::pass_command(PeerCall call) {
     metrics_.count("stops_passed_on_total");
     std::string body = call.body;
@@ -298,8 +299,8 @@
 }
 
 bool Front::healthy() const {
-    // A leader that the state service refuses alone, while its peers refuse it too, is of use to nobody: it used to
-    // keep its users for as long as that lasted.
+    // A leader that the state service refuses alone, while its peers refuse it too, is of use to nobody: it
+    // used to keep its users for as long as that lasted.
     if (membership_->enabled() && leader_ && !leader_->sure(steady_now())) {
         double now = steady_now();
         bool alone = membership_->views(now).empty() && !settings_.peers.empty();
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -232,7 +232,8 @@
 void Leader::handle(HandOver& m) {
     settled_ = std::move(m.settled);
     settle_until_ = now_ + kSettle_s;
-    // What users asked for goes on to the next leader, as at any end of a tenure: it is under way or asked again.
+    // What users asked for goes on to the next leader, as at any end of a tenure: it is under way or asked
+    // again.
     ready_ = false;
 }
 
--- a/src/coordination/leader_tasks.cpp
+++ b/src/coordination/leader_tasks.cpp
@@ -133,15 +133,16 @@
     for (auto& [index, commands] : direct_) {
         auto* m = tables_.machines[index].get();
         if (!m || !m->up || m->addr.empty()) continue;
-        asio::co_spawn(
-            io_,
-            send_stops(shared_from_this(), m->addr, m->relayed_by, direct_commands(tenure_->token, m->session, commands)),
-            asio::detached);
+        asio::co_spawn(io_,
+                       send_stops(shared_from_this(), m->addr, m->relayed_by,
+                                  direct_commands(tenure_->token, m->session, commands)),
+                       asio::detached);
     }
     direct_.clear();
 }
 
-// By the controller that relays for the worker, where there is one: the worker can't be reached from here, as it seems.
+// By the controller that relays for the worker, where there is one: the worker can't be reached from here, as
+// it seems.
 asio::awaitable<void> Leader::send_stops(std::shared_ptr<Leader> self, std::string addr, std::string by,
                                          std::string body) {
     (void)self;
--- a/src/coordination/overload/forecast.cpp
+++ b/src/coordination/overload/forecast.cpp
@@ -8,9 +8,10 @@
 namespace {
 
 constexpr double kLearn_s = 30;  // time constant of what a queue has in use
-// A queue is pressed once half of what waits will be late in whatever order, and until none of it need be: between the
-// two it stays what it was, so that a load that swings around capacity does not change the order each time. Pressed at
-// the first late job, large jobs lost deadlines that the order by due times would have kept.
+// A queue is pressed once half of what waits will be late in whatever order, and until none of it need be:
+// between the two it stays what it was, so that a load that swings around capacity does not change the order
+// each time. Pressed at the first late job, large jobs lost deadlines that the order by due times would have
+// kept.
 constexpr double kPressed = 2.0, kRelieved = 1.0;
 
 bool by_gpu(const JobSpec& spec) { return spec.need.gpu > 0; }
@@ -27,7 +28,8 @@
 }  // namespace
 
 double waiting_work(const Tables& tables, const Job& job) {
-    return job.pending * units(job.spec.need, by_gpu(job.spec)) * std::max(1.0, tables.expected_run_s(job.spec));
+    return job.pending * units(job.spec.need, by_gpu(job.spec)) *
+           std::max(1.0, tables.expected_run_s(job.spec));
 }
 
 std::map<QueueKey, QueueForecast> forecast(const Tables& tables, const std::map<QueueKey, double>& used) {
@@ -91,7 +93,8 @@
             auto& q = it->second;
             bool now_pressed = q.drain_s > q.within_s * (was ? kRelieved : kPressed);
             if (!now_pressed) continue;
-            // A job of mean size waits as long as the queue takes to drain, others in proportion to their work.
+            // A job of mean size waits as long as the queue takes to drain, others in proportion to their
+            // work.
             p.stretch = q.drain_s / q.mean_work;
             ++pressed_;
         }
--- a/src/membership/decide.cpp
+++ b/src/membership/decide.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-constexpr double kUneven = 1.25;                            // reports come this much later than usual at most
-constexpr uint32_t kSlackShare = 20;                        // a twentieth of the workers is no difference
+constexpr double kUneven = 1.25;      // reports come this much later than usual at most
+constexpr uint32_t kSlackShare = 20;  // a twentieth of the workers is no difference
 constexpr uint32_t kMostDoublings = 5;
 constexpr double kYieldFresh_s = 10;  // by then the one who was to follow would lead
 constexpr double kLetGo_s = 0.6;      // to the one to whom was yielded
@@ -29,8 +29,8 @@
 LinkTimes LinkTimes::of(const Settings& s) {
     LinkTimes t;
     t.heard_s = 1.2 * kUneven * s.report_s + s.worker_next_s;
-    t.cycle_s =
-        kUneven * s.report_s + s.worker_patience_s + s.worker_next_s * (1.0 + static_cast<double>(s.peers.size()));
+    t.cycle_s = kUneven * s.report_s + s.worker_patience_s +
+                s.worker_next_s * (1.0 + static_cast<double>(s.peers.size()));
     t.firm_s = 0.3 * s.report_s;
     t.hold_s = 3 * s.report_s;
     t.fresh_s = 3 * s.ping_s;
@@ -47,7 +47,9 @@
                      2 * mine.direct < std::max(mine.known, p.links.direct);
         if (!reaches && !hears) continue;
         if (best) {
-            auto rank = [](const PeerView& v, bool r) { return std::tuple(r, v.links.direct, v.links.reach); };
+            auto rank = [](const PeerView& v, bool r) {
+                return std::tuple(r, v.links.direct, v.links.reach);
+            };
             auto a = rank(p, reaches), b = rank(*best, best_reaches);
             if (a < b || (a == b && p.name > best->name)) continue;
         }
@@ -82,7 +84,8 @@
     return last.count == 0 || wall - last.at > hold_after(last, times) + 2 * clock_off_s;
 }
 
-HandOvers next_hand_over(const HandOvers& last, const LinkTimes& times, std::string from, std::string to, double wall) {
+HandOvers next_hand_over(const HandOvers& last, const LinkTimes& times, std::string from, std::string to,
+                         double wall) {
     // As long again without one as was waited for several times over: the links have come to rest.
     bool quiet = wall - last.at > 8 * hold_after(last, times);
     return {std::move(from), std::move(to), quiet ? 1 : last.count + 1, wall};
@@ -94,7 +97,8 @@
     if (fresh && last.to == self) return -1;
     double wait = fresh ? (last.from == self ? 2 * kLetGo_s : kLetGo_s) : 0;
     for (auto& p : others)
-        if (p.links.told && p.links.state && far_more(p.links.reach, own.reach, 0)) wait = std::max(wait, kDeafer_s);
+        if (p.links.told && p.links.state && far_more(p.links.reach, own.reach, 0))
+            wait = std::max(wait, kDeafer_s);
     return wait;
 }
 
--- a/src/membership/decide.h
+++ b/src/membership/decide.h
@@ -1,6 +1,6 @@
-// Decisions about links: who should lead, who speaks for whom, whether a node is of use to users. Pure functions of
-// what is known of links and a given time; no one of them says that anything is gone or who holds the leadership, so a
-// wrong or old view costs time, never a rule (docs/design-membership.md).
+// Decisions about links: who should lead, who speaks for whom, whether a node is of use to users. Pure
+// functions of what is known of links and a given time; no one of them says that anything is gone or who
+// holds the leadership, so a wrong or old view costs time, never a rule (docs/design-membership.md).
 #pragma once
 #include <optional>
 #include <span>
@@ -12,14 +12,14 @@
 
 namespace weirmill {
 
-// Times that follow from the platform's settings and the protocol ("Workers": a worker waits 4 s for an answer and
-// tries the next controller 1 s later).
+// Times that follow from the platform's settings and the protocol ("Workers": a worker waits 4 s for an
+// answer and tries the next controller 1 s later).
 struct LinkTimes {
-    double heard_s;     // a leader: a worker that reports to it directly was heard within this
-    double cycle_s;     // a worker that can't do with its controller has tried all of them within this
-    double firm_s;      // a better leader must stay better for this long
-    double hold_s;      // after a hand-over no other for this long, doubled with each that follows
-    double fresh_s;     // a peer's word older than this does not count
+    double heard_s;  // a leader: a worker that reports to it directly was heard within this
+    double cycle_s;  // a worker that can't do with its controller has tried all of them within this
+    double firm_s;   // a better leader must stay better for this long
+    double hold_s;   // after a hand-over no other for this long, doubled with each that follows
+    double fresh_s;  // a peer's word older than this does not count
     static LinkTimes of(const Settings& s);
 };
 
@@ -29,13 +29,13 @@
     bool heard = false;  // by this controller itself, lately; else its word came through the state service
 };
 
-// Who of these should lead in place of one with the links `mine`; nothing: it stays. One that reaches far more of the
-// workers, else one that far more of them come to while this one has lost most of its own. A fleet that is silent to
-// all is no reason.
+// Who of these should lead in place of one with the links `mine`; nothing: it stays. One that reaches far
+// more of the workers, else one that far more of them come to while this one has lost most of its own. A
+// fleet that is silent to all is no reason.
 std::optional<std::string> better_leader(const LinkReport& mine, std::span<const PeerView> others);
 
-// What a controller with `own` links reaches, the peers that it hears included: the most of any, as the same workers
-// try them all.
+// What a controller with `own` links reaches, the peers that it hears included: the most of any, as the same
+// workers try them all.
 uint32_t reach_through(uint32_t own, std::span<const PeerView> others);
 
 // The peer through which a leader that this controller can't reach may be reached; nothing: none.
@@ -52,10 +52,11 @@
 };
 // Whether another may follow yet; `wall` by the time of day, off by at most `clock_off_s` on each controller.
 bool may_hand_over(const HandOvers& last, const LinkTimes& times, double clock_off_s, double wall);
-HandOvers next_hand_over(const HandOvers& last, const LinkTimes& times, std::string from, std::string to, double wall);
+HandOvers next_hand_over(const HandOvers& last, const LinkTimes& times, std::string from, std::string to,
+                         double wall);
 
-// How long a controller lets others go first in a campaign, seconds; negative: it is the one to whom was yielded, and
-// waits for nobody.
+// How long a controller lets others go first in a campaign, seconds; negative: it is the one to whom was
+// yielded, and waits for nobody.
 double campaign_wait(const std::string& self, const LinkReport& own, std::span<const PeerView> others,
                      const HandOvers& last, double clock_off_s, double wall);
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -15,8 +15,8 @@
 
 constexpr double kTicks = 2;  // in the time between pings
 constexpr double kRead_s = 0.8;
-constexpr double kHint_s = 0.15;   // a campaign does not wait longer for what the last hand-over was
-constexpr double kRecordPings = 4;  // lease of a record of links, in times between pings
+constexpr double kHint_s = 0.15;       // a campaign does not wait longer for what the last hand-over was
+constexpr double kRecordPings = 4;     // lease of a record of links, in times between pings
 constexpr double kLeastLease_s = 0.1;  // protocol, "POST /leases"
 // A record is written anew where a count moved by this share.
 constexpr uint32_t kMovedShare = 10;
@@ -79,7 +79,8 @@
 }
 
 Membership::Peer* Membership::peer(const std::string& name) {
-    bool named = std::any_of(settings_.peers.begin(), settings_.peers.end(), [&](auto& p) { return p.name == name; });
+    bool named =
+        std::any_of(settings_.peers.begin(), settings_.peers.end(), [&](auto& p) { return p.name == name; });
     return named ? &peers_[name] : nullptr;
 }
 
@@ -183,8 +184,8 @@
     if (!may_hand_over(last_, times_, settings_.clock_off_ms / 1000, wall)) co_return;
     if (hooks_.leads_since() != since || better_.empty()) co_return;
     auto theirs = *view(better_, now);
-    spdlog::info("links: hands over to {}: workers direct={} reach={} of {}, there direct={} reach={}", better_,
-                 mine.direct, mine.reach, mine.known, theirs.direct, theirs.reach);
+    spdlog::info("links: hands over to {}: workers direct={} reach={} of {}, there direct={} reach={}",
+                 better_, mine.direct, mine.reach, mine.known, theirs.direct, theirs.reach);
     metrics_.count("hand_overs_total");
     hooks_.hand_over(next_hand_over(last_, times_, settings_.name, better_, wall));
     better_.clear();
@@ -194,8 +195,8 @@
     if (!enabled()) co_return 0;
     co_await read_hand_overs(kHint_s);
     double now = steady_now();
-    co_return weirmill::campaign_wait(settings_.name, own(now), views(now), last_, settings_.clock_off_ms / 1000,
-                                      wall_now());
+    co_return weirmill::campaign_wait(settings_.name, own(now), views(now), last_,
+                                      settings_.clock_off_ms / 1000, wall_now());
 }
 
 void Membership::gauges(std::map<std::string, double>& out) const {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -1,7 +1,7 @@
-// What this controller knows of links. An actor that owns the peers' views and the time of their last word, says this
-// controller's own to them, over pings or, where one is out of reach, under a leased key, and asks a leader to hand over
-// where another would serve the workers better. docs/design-membership.md has the argument why none of it can break a
-// rule; docs/operations.md, "Links", what operators see.
+// What this controller knows of links. An actor that owns the peers' views and the time of their last word,
+// says this controller's own to them, over pings or, where one is out of reach, under a leased key, and asks
+// a leader to hand over where another would serve the workers better. docs/design-membership.md has the
+// argument why none of it can break a rule; docs/operations.md, "Links", what operators see.
 #pragma once
 #include <functional>
 #include <map>
@@ -62,10 +62,10 @@
     Metrics& metrics_;
     Hooks hooks_;
     std::map<std::string, Peer> peers_;
-    HandOvers last_;               // hand-over, as recorded
-    uint64_t lease_ = 0;           // of this controller's record; 0: none
+    HandOvers last_;      // hand-over, as recorded
+    uint64_t lease_ = 0;  // of this controller's record; 0: none
     LinkReport published_;
-    std::string better_;           // who would lead better, and since when
+    std::string better_;  // who would lead better, and since when
     double better_since_ = 0;
 };
 
--- a/src/membership/records.cpp
+++ b/src/membership/records.cpp
@@ -15,7 +15,9 @@
 
 LinkReport parse_link_record(const json::value& v) {
     auto& o = read::object(v);
-    auto count = [&](const char* name) { return static_cast<uint32_t>(std::min<uint64_t>(read::count(o, name, 0), 1u << 30)); };
+    auto count = [&](const char* name) {
+        return static_cast<uint32_t>(std::min<uint64_t>(read::count(o, name, 0), 1u << 30));
+    };
     LinkReport r;
     r.told = true;
     r.state = read::flag(o, "state", false);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -51,8 +51,8 @@
     double cloud_rps = 0, list_lag_s = 0;
     double cpu_share = 0, mem_mb = 0;
     int max_sockets = 0;
-    // Not in the file: the protocol's ("Workers": how long one waits for an answer, and then before it tries the next
-    // controller) and this service's own (between pings of a peer). Tests run on shorter ones.
+    // Not in the file: the protocol's ("Workers": how long one waits for an answer, and then before it tries
+    // the next controller) and this service's own (between pings of a peer). Tests run on shorter ones.
     double worker_patience_s = 4, worker_next_s = 1, ping_s = 1;
 };
 
--- a/src/transport/peer_link.h
+++ b/src/transport/peer_link.h
@@ -18,7 +18,7 @@
 struct PeerCall {
     PeerOp op = PeerOp::Ping;
     std::string subject, body;
-    bool via = false;    // the sender can't reach the leader: to be passed on, but by the callee alone
+    bool via = false;      // the sender can't reach the leader: to be passed on, but by the callee alone
     std::string sender{};  // the controller that calls; empty: this one
     LinkReport links{};    // with a ping
 };
--- a/tests/links_service_test.cpp
+++ b/tests/links_service_test.cpp
@@ -1,6 +1,6 @@
-// The whole service over loopback with links that are cut one by one, held, refused, or lose their answers. In every
-// case a chain of links from the workers to the state service stands, and the work that runs must outlive the cut: each
-// of its tasks starts once.
+// The whole service over loopback with links that are cut one by one, held, refused, or lose their answers.
+// In every case a chain of links from the workers to the state service stands, and the work that runs must
+// outlive the cut: each of its tasks starts once.
 #include "service.h"
 
 namespace weirmill {
@@ -33,8 +33,8 @@
 
 constexpr int kWork = 6;
 
-// Tasks that fill a machine each and run for longer than a worker's lease: they can't outlive a cut in which nobody
-// answers for them.
+// Tasks that fill a machine each and run for longer than a worker's lease: they can't outlive a cut in which
+// nobody answers for them.
 void start_work(Service& s) {
     standin::Job job;
     job.run_s = s.base.lease_s + 2;
@@ -64,7 +64,8 @@
 class EveryCut : public testing::TestWithParam<Is> {};
 
 TEST_P(EveryCut, ALeaderThatLosesTheWorkersHandsOverWhilePeersRefuseEachOther) {
-    // It used to keep the leadership until every lease had run out, beside two controllers that reached all workers.
+    // It used to keep the leadership until every lease had run out, beside two controllers that reached all
+    // workers.
     Service s(3, cables());
     start_work(s);
     int old = s.leader().back() - '0';
@@ -91,7 +92,9 @@
     job.run_s = 60;
     EXPECT_EQ(s.submit("req-2", "array", 2, job), 201);
     ASSERT_TRUE(s.until([&] { return s.cloud->on_some_machine("req-2"); }));
-    ASSERT_TRUE(s.until([&] { return figure(s, leader, "workers_reached") > 0 && figure(s, leader, "workers_direct") == 0; }));
+    ASSERT_TRUE(s.until([&] {
+        return figure(s, leader, "workers_reached") > 0 && figure(s, leader, "workers_direct") == 0;
+    }));
     EXPECT_EQ(s.ask("POST", "/v2/runs/req-2/cancel").status, 200);
     EXPECT_TRUE(s.until([&] { return !s.cloud->on_some_machine("req-2"); }));
     EXPECT_GT(figure(s, a, "stops_passed_on_total") + figure(s, b, "stops_passed_on_total"), 0);
@@ -115,7 +118,8 @@
     s.cloud->jobs["req-2"] = {0.2, false, 1, false, {}};
     std::optional<HttpAnswer> reply;
     EXPECT_TRUE(s.until([&] {
-        reply = s.ask_node(static_cast<size_t>(a), "POST", "/v2/runs", Service::submission("req-2", "array", 1));
+        reply =
+            s.ask_node(static_cast<size_t>(a), "POST", "/v2/runs", Service::submission("req-2", "array", 1));
         return reply && reply->status != 503;
     }));
     EXPECT_EQ(reply->status, 201);
--- a/tests/membership_model_test.cpp
+++ b/tests/membership_model_test.cpp
@@ -1,8 +1,8 @@
-// A model check of hand-overs: every interleaving of two controllers that campaign, lead, place one task, answer two
-// workers and yield, with transactions and answers to workers executed again or late, over whatever relays. The yield's
-// conditions are those of the real transaction. Each condition is then taken away on its own, and the model must find
-// what that one guards against. Clocks stand for themselves: a controller that is sure of its lease holds one that has
-// not run out (election.h, sure_until).
+// A model check of hand-overs: every interleaving of two controllers that campaign, lead, place one task,
+// answer two workers and yield, with transactions and answers to workers executed again or late, over
+// whatever relays. The yield's conditions are those of the real transaction. Each condition is then taken
+// away on its own, and the model must find what that one guards against. Clocks stand for themselves: a
+// controller that is sure of its lease holds one that has not run out (election.h, sure_until).
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -39,25 +39,26 @@
 
 constexpr int kNodes = 2, kMachines = 2, kMostTokens = 3, kMostCopies = 3, kMostRecords = 2;
 
-struct Copy {  // of a transaction, or of an answer to a worker: executed at any time, a transaction perhaps again
+struct Copy {  // of a transaction, or of an answer to a worker: executed at any time, a transaction perhaps
+               // again
     enum Kind : uint8_t { kNone, kYield, kPlace, kStart } kind;
     uint8_t token, machine, log;  // log: the version that the transaction asks for
 };
 
 struct State {
-    uint8_t key, last;          // version of the leader's key (0: none), and the last one given
-    uint8_t holder;             // whose lease the key hangs on
-    uint8_t placed;             // as recorded: the task's machine, 0 none
-    uint8_t log;                // version of the log: one transaction of one leader makes each
+    uint8_t key, last;  // version of the leader's key (0: none), and the last one given
+    uint8_t holder;     // whose lease the key hangs on
+    uint8_t placed;     // as recorded: the task's machine, 0 none
+    uint8_t log;        // version of the log: one transaction of one leader makes each
     struct Node {
         uint8_t token, leads, sure, lease, ended, yielded;
-        uint8_t knows;      // where it believes the task
-        uint8_t recorded;   // that this is recorded
-        uint8_t log;        // its version, as last known
-        uint8_t started;    // it answered that machine with a start
+        uint8_t knows;     // where it believes the task
+        uint8_t recorded;  // that this is recorded
+        uint8_t log;       // its version, as last known
+        uint8_t started;   // it answered that machine with a start
     } nodes[kNodes];
     uint8_t seen[kMachines], on[kMachines];  // by machine: highest token, and whether the task is there
-    uint8_t again;  // so many transactions may still be executed a second time
+    uint8_t again;                           // so many transactions may still be executed a second time
     Copy copies[kMostCopies];
 };
 static_assert(std::is_trivially_copyable_v<State>);
@@ -94,9 +95,8 @@
         State tidy = s;
         for (auto& c : tidy.copies)
             if (is_void(s, c)) c = {};
-        std::sort(std::begin(tidy.copies), std::end(tidy.copies), [](auto& a, auto& b) {
-            return std::memcmp(&a, &b, sizeof a) > 0;
-        });
+        std::sort(std::begin(tidy.copies), std::end(tidy.copies),
+                  [](auto& a, auto& b) { return std::memcmp(&a, &b, sizeof a) > 0; });
         if (seen_.emplace(reinterpret_cast<const char*>(&tidy), sizeof tidy).second) queue_.push_back(tidy);
     }
     static bool acts(const State::Node& n) { return n.leads && n.sure && !n.ended; }
@@ -212,7 +212,8 @@
                 if (holds(kEndedBeforeYield)) x.ended = 1;
                 send(n, {Copy::kYield, x.token, 0, 0});
             });
-        if (!holds(kNeverTakenUpAgain) && me.ended && s.key == me.token)  // no answer, and the key still stands
+        if (!holds(kNeverTakenUpAgain) && me.ended &&
+            s.key == me.token)  // no answer, and the key still stands
             with([](State&, State::Node& x) { x.ended = 0; });
         if (!acts(me)) return;
         // Decisions and answers of a leader.
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -1,11 +1,12 @@
-// Decisions about links: tables of cases, and every combination of links up and down between three controllers, the
-// state service and the workers, with what must come of it.
+// Decisions about links: tables of cases, and every combination of links up and down between three
+// controllers, the state service and the workers, with what must come of it.
+#include "membership/membership.h"
+
 #include <gtest/gtest.h>
 
 #include <array>
 
 #include "fixtures.h"
-#include "membership/membership.h"
 #include "membership/records.h"
 #include "membership/roster.h"
 
@@ -28,20 +29,53 @@
     const Row rows[] = {
         {"all is well", links(true, 1000, 1000, 1000), {{"b", links(true, 3, 3), true}}, nullptr},
         {"deaf, and a peer hears all", links(true, 0, 0, 1000), {{"b", links(true, 900, 900), false}}, "b"},
-        {"deaf, and relayed for: workers still come to the peer", links(true, 0, 1000, 1000), {{"b", links(true, 950, 950), true}}, "b"},
-        {"deaf, and the peer has not the state service", links(true, 0, 0, 1000), {{"b", links(false, 900, 900), true}}, nullptr},
+        {"deaf, and relayed for: workers still come to the peer",
+         links(true, 0, 1000, 1000),
+         {{"b", links(true, 950, 950), true}},
+         "b"},
+        {"deaf, and the peer has not the state service",
+         links(true, 0, 0, 1000),
+         {{"b", links(false, 900, 900), true}},
+         nullptr},
         {"deaf, and the peer is of an older version", links(true, 0, 0, 1000), {{"b", old, true}}, nullptr},
-        {"all workers are silent to all", links(true, 0, 0, 1000), {{"b", links(true, 0, 0), true}, {"c", links(true, 4, 4), true}}, nullptr},
-        {"a zone of workers is cut from it", links(true, 700, 700, 1000), {{"b", links(true, 300, 300), true}}, nullptr},
-        {"half from one controller, half from another", links(true, 500, 500, 1000), {{"b", links(true, 500, 500), true}, {"c", links(true, 500, 500), true}}, nullptr},
+        {"all workers are silent to all",
+         links(true, 0, 0, 1000),
+         {{"b", links(true, 0, 0), true}, {"c", links(true, 4, 4), true}},
+         nullptr},
+        {"a zone of workers is cut from it",
+         links(true, 700, 700, 1000),
+         {{"b", links(true, 300, 300), true}},
+         nullptr},
+        {"half from one controller, half from another",
+         links(true, 500, 500, 1000),
+         {{"b", links(true, 500, 500), true}, {"c", links(true, 500, 500), true}},
+         nullptr},
         {"a third is left to it", links(true, 300, 300, 1000), {{"b", links(true, 700, 700), true}}, "b"},
-        {"a few stragglers of a small fleet", links(true, 1, 1, 2), {{"b", links(true, 1, 1), true}}, nullptr},
+        {"a few stragglers of a small fleet",
+         links(true, 1, 1, 2),
+         {{"b", links(true, 1, 1), true}},
+         nullptr},
         {"one worker, gone to the peer", links(true, 0, 0, 1), {{"b", links(true, 1, 1), true}}, "b"},
-        {"its leases ran out, nobody is known any more", links(true, 0, 0, 0), {{"b", links(true, 200, 200), true}}, "b"},
-        {"a peer reaches them through another", links(true, 0, 0, 1000), {{"b", links(true, 0, 900), true}}, "b"},
-        {"relays serve, and nobody hears them by itself", links(true, 0, 900, 1000), {{"b", links(true, 0, 900), true}}, nullptr},
-        {"the one that more come to", links(true, 0, 0, 1000), {{"b", links(true, 500, 900), true}, {"c", links(true, 900, 900), true}}, "c"},
-        {"equal ones: by name, so that all choose alike", links(true, 0, 0, 1000), {{"c", links(true, 900, 900), true}, {"b", links(true, 900, 900), true}}, "b"},
+        {"its leases ran out, nobody is known any more",
+         links(true, 0, 0, 0),
+         {{"b", links(true, 200, 200), true}},
+         "b"},
+        {"a peer reaches them through another",
+         links(true, 0, 0, 1000),
+         {{"b", links(true, 0, 900), true}},
+         "b"},
+        {"relays serve, and nobody hears them by itself",
+         links(true, 0, 900, 1000),
+         {{"b", links(true, 0, 900), true}},
+         nullptr},
+        {"the one that more come to",
+         links(true, 0, 0, 1000),
+         {{"b", links(true, 500, 900), true}, {"c", links(true, 900, 900), true}},
+         "c"},
+        {"equal ones: by name, so that all choose alike",
+         links(true, 0, 0, 1000),
+         {{"c", links(true, 900, 900), true}, {"b", links(true, 900, 900), true}},
+         "b"},
     };
     for (auto& row : rows) {
         auto to = better_leader(row.mine, row.others);
@@ -71,18 +105,18 @@
     HandOvers to_b{"a", "b", 1, 1e9};
     std::vector<PeerView> hearing{{"c", links(true, 900, 900), true}}, nobody;
     struct Row {
-        const char *self;
+        const char* self;
         HandOvers last;
         double wall;
         const std::vector<PeerView>& others;
         double low, high;
     };
     const Row rows[] = {
-        {"b", to_b, 1e9 + 1, hearing, -1, -1},      // it is its turn, whatever else
-        {"c", to_b, 1e9 + 1, nobody, 0.5, 0.7},     // lets b go first
-        {"a", to_b, 1e9 + 1, nobody, 1.0, 1.4},     // and all the others
-        {"c", to_b, 1e9 + 60, nobody, 0, 0},        // that was another time
-        {"a", {}, 1e9, hearing, 0.2, 0.3},          // c hears the workers
+        {"b", to_b, 1e9 + 1, hearing, -1, -1},   // it is its turn, whatever else
+        {"c", to_b, 1e9 + 1, nobody, 0.5, 0.7},  // lets b go first
+        {"a", to_b, 1e9 + 1, nobody, 1.0, 1.4},  // and all the others
+        {"c", to_b, 1e9 + 60, nobody, 0, 0},     // that was another time
+        {"a", {}, 1e9, hearing, 0.2, 0.3},       // c hears the workers
         {"a", {}, 1e9, nobody, 0, 0},
     };
     for (auto& row : rows) {
@@ -108,19 +142,28 @@
     const Row rows[] = {
         {"it has not met the leader: it is sent there, and stays", {{0, 3, 7, false}}, 0},
         {"it knows the leader and yet comes", {{0, 7, 7, true}, {5, 7, 7, true}}, 1},
-        {"sent there, it comes back after its own patience, without its token", {{0, 3, 7, false}, {6, 3, 7, true}}, 1},
+        {"sent there, it comes back after its own patience, without its token",
+         {{0, 3, 7, false}, {6, 3, 7, true}},
+         1},
         {"a new worker likewise", {{0, 0, 7, false}, {6, 0, 7, true}}, 1},
-        {"turned away by a leader that is not ready yet", {{0, 3, 7, false}, {1.5, 3, 7, false}, {3, 3, 7, false}}, 0},
-        {"turned away each time", {{0, 3, 7, false}, {1.5, 3, 7, false}, {3, 3, 7, false}, {4.5, 3, 7, true}}, 1},
+        {"turned away by a leader that is not ready yet",
+         {{0, 3, 7, false}, {1.5, 3, 7, false}, {3, 3, 7, false}},
+         0},
+        {"turned away each time",
+         {{0, 3, 7, false}, {1.5, 3, 7, false}, {3, 3, 7, false}, {4.5, 3, 7, true}},
+         1},
         {"sent long ago", {{0, 3, 7, false}, {60, 3, 7, false}}, 0},
         {"another leader since: it is sent there", {{0, 7, 7, true}, {20, 7, 9, false}}, 0},
-        {"the relay ends: it tries the leader again, and comes back", {{0, 7, 7, true}, {19, 7, 7, true}, {50, 7, 7, true}}, 1},
+        {"the relay ends: it tries the leader again, and comes back",
+         {{0, 7, 7, true}, {19, 7, 7, true}, {50, 7, 7, true}},
+         1},
         {"nobody leads", {{0, 7, 0, false}}, 1},
     };
     for (auto& row : rows) {
         Roster roster(settings);
         for (auto& v : row.visits)
-            EXPECT_EQ(roster.relays("vm-1", v.seen, v.leader, 100 + v.at), v.relays) << row.what << " at " << v.at;
+            EXPECT_EQ(roster.relays("vm-1", v.seen, v.leader, 100 + v.at), v.relays)
+                << row.what << " at " << v.at;
         auto& last = row.visits.back();
         EXPECT_EQ(roster.stranded(last.leader, 10, 100 + last.at), row.stranded) << row.what;
         EXPECT_EQ(roster.stranded(0, 10, 100 + last.at + 11), 0u) << row.what;
@@ -140,11 +183,11 @@
     for (int i = 0; i < 6; ++i) w.machine("vm-" + std::to_string(i));
     auto at = [&](int i) -> Machine& { return *w.tables.machines[i]; };
     for (int i = 0; i < 6; ++i) at(i).last_report = at(i).direct_at = w.now;
-    at(1).direct_at = w.now - times.heard_s - 1;                        // relayed since
-    at(2).direct_at = 0;                                                // relayed always
-    at(3).direct_at = at(3).last_report = w.now - times.heard_s - 1;    // silent, its lease stands
+    at(1).direct_at = w.now - times.heard_s - 1;                           // relayed since
+    at(2).direct_at = 0;                                                   // relayed always
+    at(3).direct_at = at(3).last_report = w.now - times.heard_s - 1;       // silent, its lease stands
     at(4).direct_at = at(4).last_report = w.now - w.settings.lease_s - 1;  // over
-    at(5).direct_at = at(5).last_report = 0;                            // never heard
+    at(5).direct_at = at(5).last_report = 0;                               // never heard
     auto r = leader_links(w.tables, times, w.settings.lease_s, w.now);
     EXPECT_EQ(r.direct, 1u);
     EXPECT_EQ(r.reach, 3u);
@@ -161,9 +204,11 @@
     HandOvers h{"a", "b", 3, 1.5e9};
     auto yield = yield_leadership("leader", 41, h);
     EXPECT_EQ(parse_hand_overs(read::parse(yield.changes[1].value)), h);
-    for (const char* text : {"[]", R"({"direct":-1})", R"({"direct":"x"})", R"({"hears":{}})", R"({"hears":[1]})"})
+    for (const char* text :
+         {"[]", R"({"direct":-1})", R"({"direct":"x"})", R"({"hears":{}})", R"({"hears":[1]})"})
         EXPECT_THROW(parse_link_record(read::parse(text)), BadMessage) << text;
-    for (const char* text : {"1", R"({"from":"a"})", R"({"from":"a","to":"","at":1})", R"({"from":"a","to":"b"})"})
+    for (const char* text :
+         {"1", R"({"from":"a"})", R"({"from":"a","to":"","at":1})", R"({"from":"a","to":"b"})"})
         EXPECT_THROW(parse_hand_overs(read::parse(text)), BadMessage) << text;
 }
 
@@ -185,7 +230,8 @@
         }
         return c;
     }
-    // Whether any chain of links goes from the workers to the state service, whoever would have to pass it on.
+    // Whether any chain of links goes from the workers to the state service, whoever would have to pass it
+    // on.
     bool chain() const {
         auto reached = workers;
         for (int again = 0; again < kNodes; ++again)
@@ -195,8 +241,8 @@
             if (reached[i] && state[i]) return true;
         return false;
     }
-    // How the decisions of today take a worker's report to this controller: 1 by itself, 2 through a peer, 3 through
-    // two; 0: not at all.
+    // How the decisions of today take a worker's report to this controller: 1 by itself, 2 through a peer, 3
+    // through two; 0: not at all.
     int hops(int leader) const {
         if (workers[leader]) return 1;
         int best = 0;
@@ -253,7 +299,8 @@
     int next(int favoured) const {
         if (leader >= 0 && cut.state[leader]) {
             auto to = better_leader(own(leader), views(leader));
-            return to ? static_cast<int>(std::find(kNames.begin(), kNames.end(), *to) - kNames.begin()) : leader;
+            return to ? static_cast<int>(std::find(kNames.begin(), kNames.end(), *to) - kNames.begin())
+                      : leader;
         }
         if (leader >= 0) return -1;  // its lease runs out
         int best = -1;
@@ -294,16 +341,19 @@
                 if (!state) continue;
                 ASSERT_TRUE(cut.state[leader]) << bits;
                 int hops = cut.hops(leader);
-                ASSERT_EQ(hops > 0, best > 0) << "links " << bits << ", led by " << leader << " from " << start;
+                ASSERT_EQ(hops > 0, best > 0)
+                    << "links " << bits << ", led by " << leader << " from " << start;
                 // Where one hears the workers itself, such a one leads.
-                ASSERT_EQ(hops == 1, best == 1) << "links " << bits << ", led by " << leader << " from " << start;
+                ASSERT_EQ(hops == 1, best == 1)
+                    << "links " << bits << ", led by " << leader << " from " << start;
             }
         if (!state) continue;
         ++(best == 0 ? no_chain : served);
         direct += best == 1;
     }
-    // 448 combinations have a controller with the state service. In 56 of these the workers reach no controller, in 30
-    // more none that has a way, over others, to one with the state service: their tasks can't be kept.
+    // 448 combinations have a controller with the state service. In 56 of these the workers reach no
+    // controller, in 30 more none that has a way, over others, to one with the state service: their tasks
+    // can't be kept.
     EXPECT_EQ(served, 362);
     EXPECT_EQ(no_chain, 86);
     EXPECT_EQ(direct, 296);
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -1,4 +1,5 @@
-// Overload: the forecast of each queue, when it is pressed and when not any more, and the order under pressure.
+// Overload: the forecast of each queue, when it is pressed and when not any more, and the order under
+// pressure.
 #include <gtest/gtest.h>
 
 #include <random>
@@ -22,7 +23,8 @@
         tables.classes[job_class].done_within_s = {30, 60};
         for (int i = 0; i < machines; ++i) machine("vm-" + std::to_string(i));
     }
-    Index wait(uint32_t tasks, double run_s, const std::string& team = "blue", JobKind kind = JobKind::Array) {
+    Index wait(uint32_t tasks, double run_s, const std::string& team = "blue",
+               JobKind kind = JobKind::Array) {
         auto s = spec("req-" + std::to_string(100000 + next++), kind, tasks, 1, 0, Priority::Normal, team);
         s.job_class = job_class;
         s.estimate_s = run_s;
@@ -73,7 +75,7 @@
     };
     const Row rows[] = {
         {"nothing waits", 4, 0, 0, 0, "blue", false},
-        {"a little on four machines", 4, 10, 4, 30, "blue", false},   // 1,200 s on 32 CPUs
+        {"a little on four machines", 4, 10, 4, 30, "blue", false},         // 1,200 s on 32 CPUs
         {"more than they do in two minutes", 4, 20, 10, 30, "blue", true},  // 6,000 s on 32
         {"the same on many machines", 40, 20, 10, 30, "blue", false},
         {"but not within this team's limit of 32", 40, 20, 10, 30, "red", true},
@@ -151,7 +153,8 @@
     auto late = c.wait(1, 10);
     c.tables.classes[c.job_class].pressure[c.tables.jobs[late]->spec.team].stretch = stretch;
     auto order = c.order();
-    EXPECT_LT(std::find(order.begin(), order.end(), id(middle)), std::find(order.begin(), order.end(), id(late)));
+    EXPECT_LT(std::find(order.begin(), order.end(), id(middle)),
+              std::find(order.begin(), order.end(), id(late)));
 }
 
 TEST(Overload, WithoutPressureTheOrderIsWhatItWas) {
@@ -169,8 +172,8 @@
     EXPECT_EQ(a.order(), b.order());
 }
 
-// Random loads of 1.2 to 16 times what is served: more jobs end than by the order without pressure, by both estimates,
-// no job of small work is left behind, and priorities and guarantees still command.
+// Random loads of 1.2 to 16 times what is served: more jobs end than by the order without pressure, by both
+// estimates, no job of small work is left behind, and priorities and guarantees still command.
 TEST(Overload, MoreJobsAreServedOfRandomLoadsAndPrioritiesStillCommand) {
     std::mt19937 random(11);
     int better = 0, worse = 0;
--- a/tests/service.h
+++ b/tests/service.h
@@ -35,7 +35,7 @@
         int strangers = 0;  // further controllers that never were started with this version
         double write_rps = 40;
         int txn_ops = 12;
-        bool links = false;  // membership, and every link between the processes goes over a cable of its own
+        bool links = false;   // membership, and every link between the processes goes over a cable of its own
         std::set<int> old{};  // controllers whose version says nothing of links
     };
     // What a controller calls, or is called over; see standin/cable.h.
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -194,7 +194,8 @@
     socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), server.port()));
     asio::write(socket, asio::buffer(call));
     as_read_before(frame_from(socket), [&](oldpeer::Frame::Reader f) {
-        as_read_before(reply.substr(4), [&](oldpeer::Frame::Reader old) { EXPECT_EQ(f.getSeq(), old.getSeq()); });
+        as_read_before(reply.substr(4),
+                       [&](oldpeer::Frame::Reader old) { EXPECT_EQ(f.getSeq(), old.getSeq()); });
         ASSERT_TRUE(f.isReply());
         EXPECT_EQ(f.getReply().getStatus(), 200);
         EXPECT_EQ(text_of(f.getReply().getBody()), "{\"op\":1}");
