Reading the change again: one sender of commands, one reckoning of fresh words, a record written after a new lease

And a record of links whose lease had ended was taken for still standing where its next writing failed. Change: send_commands, fresh() and hears() serve all callers; a class holds its stretch by team; what was published is forgotten with its lease. Behaviour otherwise as before, the tests keep their assertions.

--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -141,10 +141,7 @@
     JobSpec last;                                      // the newest of them
     // Of a team's jobs of this class, where more waits than its users can be served with in time: the seconds
     // that a job waits for each second and unit of its work. 0: not pressed (coordination/overload).
-    struct Pressure {
-        double stretch = 0;
-    };
-    std::vector<Pressure> pressure;  // by team index
+    std::vector<double> stretch;  // by team index
 };
 
 struct Refusal {
@@ -215,8 +212,8 @@
     double due(const Job& job, double earliest, int& missed) const;
     double stretch(const JobSpec& spec) const {
         if (spec.job_class >= classes.size()) return 0;
-        auto& p = classes[spec.job_class].pressure;
-        return spec.team < p.size() ? p[spec.team].stretch : 0;
+        auto& by_team = classes[spec.job_class].stretch;
+        return spec.team < by_team.size() ? by_team[spec.team] : 0;
     }
     // Run time to expect of a task, without its image fetch.
     double expected_run_s(const JobSpec& spec) const;
--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -114,23 +114,12 @@
     co_return PeerReply{503, "{}", 1, 0, true};
 }
 
-asio::awaitable<bool> Front::to_worker(const std::string& addr, std::string body) {
-    try {
-        HttpClient worker(io_, Endpoint::parse(addr, "worker"), 1024 * 1024);
-        auto reply = co_await worker.request("POST", paths::kCommands, std::move(body), kWorker_s);
-        co_return reply.has_value();
-    } catch (const SettingsError& e) {
-        spdlog::error("worker: bad address {}: {}", addr, e.what());
-    }
-    co_return false;
-}
-
 // Stops for a worker that the leader can't reach. Like any that it sends itself they name token, session and
 // attempt, so a late or second copy does no harm.
 asio::awaitable<PeerReply> Front::pass_command(PeerCall call) {
     metrics_.count("stops_passed_on_total");
     std::string body = call.body;
-    if (co_await to_worker(call.subject, std::move(body))) co_return PeerReply{200, "{}"};
+    if (co_await send_commands(io_, call.subject, std::move(body), kWorker_s)) co_return PeerReply{200, "{}"};
     if (!call.via) {
         auto from = call.sender;
         call.via = true;
--- a/src/coordination/front.h
+++ b/src/coordination/front.h
@@ -30,7 +30,6 @@
     boost::asio::awaitable<PeerReply> by_peer(std::string name, PeerCall call);
     // The peer through which this call may reach the leader, where this controller can't.
     std::optional<std::string> way_for(const PeerCall& call) const;
-    boost::asio::awaitable<bool> to_worker(const std::string& addr, std::string body);
     boost::asio::awaitable<PeerReply> pass_command(PeerCall call);
     bool leader_silent() const { return silent_token_ != 0 && silent_token_ == leader_token(); }
     void set_up_membership();
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -26,6 +26,10 @@
     return task.graceful ? job.spec.save_s * 1.25 + 1 : 0;
 }
 
+// Sends commands straight to a worker. False: it did not answer, and may carry them out or not.
+boost::asio::awaitable<bool> send_commands(boost::asio::io_context& io, std::string addr, std::string body,
+                                           double timeout_s);
+
 // One actor in several files, by what owns which state: leader_users.cpp, leader_records.cpp,
 // leader_inbox.cpp (what doors accepted), leader_workers.cpp (reports, held answers), leader_tasks.cpp
 // (endings, stops), leader_fleet.cpp.
--- a/src/coordination/leader_tasks.cpp
+++ b/src/coordination/leader_tasks.cpp
@@ -150,12 +150,19 @@
         PeerCall call{PeerOp::Command, addr, body};
         if (co_await pass_on(std::move(by), std::move(call))) co_return;
     }
+    co_await send_commands(io_, std::move(addr), std::move(body), 2.0);
+}
+
+asio::awaitable<bool> send_commands(asio::io_context& io, std::string addr, std::string body,
+                                    double timeout_s) {
     try {
-        HttpClient worker(io_, Endpoint::parse(addr, "worker"), 1024 * 1024);
-        co_await worker.request("POST", paths::kCommands, std::move(body), 2.0);
+        HttpClient worker(io, Endpoint::parse(addr, "worker"), 1024 * 1024);
+        auto reply = co_await worker.request("POST", paths::kCommands, std::move(body), timeout_s);
+        co_return reply.has_value();
     } catch (const SettingsError& e) {
         spdlog::error("worker: bad address {}: {}", addr, e.what());
     }
+    co_return false;
 }
 
 // The machine will be taken: what can save does so in time, what can't may still complete.
--- a/src/coordination/overload/forecast.cpp
+++ b/src/coordination/overload/forecast.cpp
@@ -82,20 +82,20 @@
     std::erase_if(used_, [&](auto& u) { return !queues_.count(u.first); });
     pressed_ = 0;
     for (Index c = 0; c < tables.classes.size(); ++c) {
-        auto& pressure = tables.classes[c].pressure;
-        pressure.resize(tables.teams.size());
+        auto& by_team = tables.classes[c].stretch;
+        by_team.resize(tables.teams.size());
         for (Index t = 0; t < tables.teams.size(); ++t) {
             auto it = queues_.find({t, c});
-            auto& p = pressure[t];
-            bool was = p.stretch > 0;
-            p.stretch = 0;
+            auto& stretch = by_team[t];
+            bool was = stretch > 0;
+            stretch = 0;
             if (it == queues_.end() || it->second.within_s <= 0 || it->second.mean_work <= 0) continue;
             auto& q = it->second;
             bool now_pressed = q.drain_s > q.within_s * (was ? kRelieved : kPressed);
             if (!now_pressed) continue;
             // A job of mean size waits as long as the queue takes to drain, others in proportion to their
             // work.
-            p.stretch = q.drain_s / q.mean_work;
+            stretch = q.drain_s / q.mean_work;
             ++pressed_;
         }
     }
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -52,12 +52,18 @@
     if (enabled()) asio::co_spawn(io_, run(), asio::detached);
 }
 
+std::vector<std::string> Membership::hears(double now) const {
+    std::vector<std::string> out;
+    for (auto& [name, p] : peers_)
+        if (fresh(p.heard_at, now)) out.push_back(name);
+    return out;
+}
+
 LinkReport Membership::own(double now) const {
     LinkReport r = hooks_.workers();
     r.told = enabled();
     r.state = reaches_state(now);
-    for (auto& [name, p] : peers_)
-        if (now - p.heard_at < times_.fresh_s) r.hears.push_back(name);
+    r.hears = hears(now);
     if (!hooks_.leads_since()) r.reach = reach_through(r.direct, views(now));
     return r;
 }
@@ -66,15 +72,15 @@
     auto it = peers_.find(peer);
     if (it == peers_.end()) return std::nullopt;
     auto& p = it->second;
-    if (now - p.heard_at < times_.fresh_s) return p.links;
-    if (now - p.recorded_at < times_.fresh_s) return p.recorded;
+    if (fresh(p.heard_at, now)) return p.links;
+    if (fresh(p.recorded_at, now)) return p.recorded;
     return std::nullopt;
 }
 
 std::vector<PeerView> Membership::views(double now) const {
     std::vector<PeerView> out;
     for (auto& [name, p] : peers_)
-        if (auto links = view(name, now)) out.push_back({name, *links, now - p.heard_at < times_.fresh_s});
+        if (auto links = view(name, now)) out.push_back({name, *links, fresh(p.heard_at, now)});
     return out;
 }
 
@@ -89,7 +95,7 @@
     if (!known) return;
     auto& p = *known;
     double now = steady_now();
-    if (enabled() && now - p.heard_at > times_.fresh_s) spdlog::info("links: {} is heard", name);
+    if (enabled() && !fresh(p.heard_at, now)) spdlog::info("links: {} is heard", name);
     p.heard_at = now;
     p.links = links;
 }
@@ -134,6 +140,8 @@
         auto lease = co_await state_.grant(std::max(kLeastLease_s, kRecordPings * settings_.ping_s), kRead_s);
         if (!lease) co_return;
         lease_ = lease.value;
+        // The record ended with its lease. Taken for standing, one whose writing then failed stayed away.
+        published_ = {};
     }
     auto txn = link_record(settings_.name, links, lease_);
     auto result = co_await state_.txn(std::move(txn), kRead_s);
@@ -148,7 +156,7 @@
         double now = steady_now();
         if (now - state_.answered_at() > settings_.ping_s) co_await read_hand_overs(kRead_s);
         now = steady_now();
-        bool apart = own(now).hears.size() < settings_.peers.size();
+        bool apart = hears(now).size() < settings_.peers.size();
         if (apart && now >= next && reaches_state(now)) {
             next = now + settings_.ping_s;
             co_await read_records();
@@ -207,7 +215,7 @@
     out["workers_reached"] = mine.reach;
     out["workers_known"] = mine.known;
     for (auto& [name, p] : peers_) {
-        out[fmt::format("peer_heard{{peer=\"{}\"}}", name)] = now - p.heard_at < times_.fresh_s;
+        out[fmt::format("peer_heard{{peer=\"{}\"}}", name)] = fresh(p.heard_at, now);
         out[fmt::format("peer_answers_lost{{peer=\"{}\"}}", name)] = static_cast<double>(p.lost);
     }
 }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -36,12 +36,14 @@
     std::optional<LinkReport> view(const std::string& peer, double now) const;
     void heard(const std::string& peer, const LinkReport& links);
     void silent(const std::string& peer);
-    bool reaches_state(double now) const { return now - state_.answered_at() < times_.fresh_s; }
+    bool reaches_state(double now) const { return fresh(state_.answered_at(), now); }
     // How long this controller lets others go first in a campaign, seconds.
     boost::asio::awaitable<double> campaign_wait();
     void gauges(std::map<std::string, double>& out) const;
 
   private:
+    bool fresh(double at, double now) const { return now - at < times_.fresh_s; }
+    std::vector<std::string> hears(double now) const;  // peers, by their own word
     struct Peer {
         LinkReport links, recorded;  // by its own word, and as the state service has it
         double heard_at = -1e9, recorded_at = -1e9;
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -151,7 +151,7 @@
     double stretch = c.tables.stretch(c.tables.jobs[middle]->spec);
     c.now += stretch * 300 + 10;
     auto late = c.wait(1, 10);
-    c.tables.classes[c.job_class].pressure[c.tables.jobs[late]->spec.team].stretch = stretch;
+    c.tables.classes[c.job_class].stretch[c.tables.jobs[late]->spec.team] = stretch;
     auto order = c.order();
     EXPECT_LT(std::find(order.begin(), order.end(), id(middle)),
               std::find(order.begin(), order.end(), id(late)));
