--- a/bench/pass_bench.cpp
+++ b/bench/pass_bench.cpp
@@ -14,6 +14,7 @@
 #include <string>
 
 #include "bookkeeping/ledger.h"
+#include "coordination/overload/forecast.h"
 #include "coordination/placement.h"
 #include "coordination/preemption.h"
 #include "coordination/sizing.h"
@@ -140,6 +141,12 @@
      }},
     {"preempt", [](Tables& t) { return plan_preemption(t, up, kNow).clearings.size(); }},
     {"close", [](Tables& t) { return size_t{plan_closing(t, up, kNow) != kNone}; }},
+    {"forecast",
+     [](Tables& t) {
+         Forecast f;
+         f.observe(t, kNow);
+         return f.queues().size();
+     }},
     {"return",
      [](Tables& t) {
          return plan_returns(t, {0.3, 8}, kNow).size();
