Clearing: jobs of one round share no free room; gangs go where their image is, off spot machines

Machines kept for a gang that had its places elsewhere stayed reserved up to 52 s. After the first minute nearly all late gangs were placed at once and then waited 25 to 30 s for images; the zone was the one with the lowest machine index, and a new leader knew no images. Change: a round keeps account of free room that earlier jobs count on, and keeps whole free machines with those being cleared; reservations end with the places; zones by images, images from what runs, by what the cache holds; gangs off spot first. An account of the room (debug line, /metrics) and a line at each job's start, which showed all this. Ruled out: a clearing round too late (0 to 6 s of the wait after the first minute).

--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 constexpr size_t kMostArrivals = 64;
+constexpr long kMostImages = 64;  // of one machine: names of images are the users' own
 constexpr size_t kMostClasses =
     1000;  // names of classes are the users' own: further ones are not learnt from
 }  // namespace
@@ -50,6 +51,10 @@
         if (per_gpu.gpu == 0) per_gpu = share;
         per_gpu = {(per_gpu.cpu * 4 + share.cpu) / 5, 1000, (per_gpu.mem * 4 + share.mem) / 5};
     }
+    if (auto image = job->spec.image; image != kNone) {
+        if (image_gb_.size() <= image) image_gb_.resize(image + 1, 0);
+        image_gb_[image] = static_cast<float>(job->spec.image_gb);
+    }
     auto free = std::find(jobs.begin(), jobs.end(), nullptr);
     if (free == jobs.end()) free = jobs.insert(jobs.end(), nullptr);
     auto index = static_cast<Index>(free - jobs.begin());
@@ -253,6 +258,19 @@
     task.phase = phase;
 }
 
+void Tables::saw_image(Machine& m, const JobSpec& spec) const {
+    std::erase(m.images, spec.image);
+    m.images.push_back(spec.image);
+    double cache = m.type < types.size() && types[m.type].offered ? types[m.type].type.cache_gb : 0;
+    double held = 0;
+    auto kept = m.images.rbegin();
+    for (; kept != m.images.rend(); ++kept) {
+        held += image_gb_[*kept];
+        if (kept != m.images.rbegin() && (held > cache || kept - m.images.rbegin() >= kMostImages)) break;
+    }
+    m.images.erase(m.images.begin(), kept.base());
+}
+
 void Tables::restore_placed(Index index, uint32_t t, Index machine, uint32_t attempt, uint32_t session) {
     auto& job = *jobs[index];
     auto& task = job.tasks[t];
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -198,6 +198,9 @@
     void restore_placed(Index job, uint32_t task, Index machine, uint32_t attempt, uint32_t session);
 
     void set_phase(Job& job, Task& task, TaskPhase phase);
+    // The machine has used the job's image. What its cache can't hold beside that leaves it, the least recently
+    // used first.
+    void saw_image(Machine& m, const JobSpec& spec) const;
     bool recorded(const Job& job, uint32_t task) const { return job.tasks[task].change <= recorded_through; }
     // What changed, in order, and up to which change all is recorded.
     std::deque<TaskChange> changes;
@@ -248,6 +251,7 @@
     double stage_s(const JobSpec& spec) const;
     Dependencies dependencies_;
     double report_s_;
+    std::vector<float> image_gb_;  // by image index, as the newest job that uses it has it
 
     void touch(Index job, uint32_t task);
     void leave_machine(Index job, uint32_t task, double now);
--- a/src/coordination/fit_queues.cpp
+++ b/src/coordination/fit_queues.cpp
@@ -11,6 +11,9 @@
 // Queues kept at once. A site on which more kinds wait makes some of them anew, as it would for every job
 // without any; what they take is bounded by this and the machines.
 constexpr size_t kKept = 64;
+
+// It loses the work of all its machines with any one of them: spot machines are for others first.
+bool together(const JobSpec& spec) { return spec.kind == JobKind::Gang && spec.tasks > 1; }
 }  // namespace
 
 Fit fit(const Tables& tables, const Job& job, Index index, double now) {
@@ -18,12 +21,14 @@
     auto left = m.room() - job.spec.need;
     bool wasted_gpus = job.spec.need.gpu == 0 && m.size.gpu > 0;
     int64_t rest = job.spec.need.gpu > 0 ? left.gpu : left.cpu;
+    bool whole = together(job.spec);
     return {wasted_gpus,
             job.failed_on.size() && job.failed_on.count(index) > 0,
             m.tasks.empty(),
             rest,
+            whole && m.spot,
             !m.has_image(job.spec.image),
-            !m.spot,
+            !whole && !m.spot,
             left.cpu,
             left.mem,
             tables.report_due_s(m, now)};
@@ -57,7 +62,7 @@
 }
 
 FitQueues::Kind FitQueues::kind(const JobSpec& s) {
-    return {s.need.cpu, s.need.gpu, s.need.mem, s.zone, s.spot, s.image, s.types};
+    return {s.need.cpu, s.need.gpu, s.need.mem, s.zone, s.spot, together(s), s.image, s.types};
 }
 
 FitQueue& FitQueues::of(Index index, bool near) {
--- a/src/coordination/fit_queues.h
+++ b/src/coordination/fit_queues.h
@@ -23,7 +23,7 @@
 // Smaller is a better fit. GPUs are not spent on tasks that need none while there is another place.
 // Among equals, one that reports soon: until then a task can't start, and a gang waits for the last of its
 // own.
-using Fit = std::tuple<bool, bool, bool, int64_t, bool, bool, int64_t, int64_t, double>;
+using Fit = std::tuple<bool, bool, bool, int64_t, bool, bool, bool, int64_t, int64_t, double>;
 Fit fit(const Tables& tables, const Job& job, Index machine, double now);
 
 class FitQueue {
@@ -83,7 +83,7 @@
     }
 
   private:
-    using Kind = std::tuple<int64_t, int64_t, int64_t, Index, bool, Index, std::vector<Index>>;
+    using Kind = std::tuple<int64_t, int64_t, int64_t, Index, bool, bool, Index, std::vector<Index>>;
     struct Kept {
         uint32_t kind;
         FitQueue queue;
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio.hpp>
 
+#include "coordination/account.h"
 #include "protocol/cloud_codec.h"
 #include "protocol/worker_codec.h"
 
@@ -18,6 +19,7 @@
 const std::string kOldJobs = "j/";
 constexpr double kAsk_s = 2.0;
 constexpr double kSettle_s = 0.6;
+constexpr double kAccount_s = 5;  // between lines about where the room is
 
 }  // namespace
 
@@ -82,6 +84,7 @@
     out["tasks_placed"] = static_cast<double>(placed);
     out["tasks_pending"] = static_cast<double>(pending);
     out["queues_pressed"] = static_cast<double>(forecast_.pressed());
+    account_gauges(account_room(tables_, usable_now(), now_), out);
 }
 
 PeerReply Leader::come_back(int seconds) const {
@@ -218,6 +221,10 @@
         next_sizing_ = now_ + 1.0;
         if (properties_.overload_enabled) forecast_.observe(tables_, now_);
         size_fleet();
+        if (spdlog::should_log(spdlog::level::debug) && now_ >= next_account_) {
+            next_account_ = now_ + kAccount_s;
+            spdlog::debug("room: {}", account_text(account_room(tables_, usable_now(), now_)));
+        }
         dirty_ = true;  // back-offs and quarantines end with time alone
     }
 }
@@ -263,13 +270,14 @@
     metrics_.count("preemption_stops_total", round.stops.size());
     ledger_.note(kRoundKey, round_record(round, tables_, rounds_));
     for (auto& c : round.clearings) {
-        for (auto i : c.machines) {
-            tables_.machines[i]->reserved_for = c.job;
-            tables_.machines[i]->reserved_until =
-                now_ + 2 * properties_.preemption_round_s + settings_.lease_s;
-        }
-        spdlog::info("preemption: round={} job={} machines={} stops={}", rounds_,
-                     tables_.jobs[c.job]->spec.id, c.machines.size(), round.stops.size());
+        for (auto* machines : {&c.machines, &c.kept})
+            for (auto i : *machines) {
+                tables_.machines[i]->reserved_for = c.job;
+                tables_.machines[i]->reserved_until =
+                    now_ + 2 * properties_.preemption_round_s + settings_.lease_s;
+            }
+        spdlog::info("preemption: round={} job={} machines={} kept={} stops={}", rounds_,
+                     tables_.jobs[c.job]->spec.id, c.machines.size(), c.kept.size(), round.stops.size());
     }
     for (auto& ref : round.stops) {
         auto& task = tables_.jobs[ref.job]->tasks[ref.task];
--- a/src/coordination/leader_workers.cpp
+++ b/src/coordination/leader_workers.cpp
@@ -130,12 +130,14 @@
             if (expected && !exited) {
                 if (t.phase == TaskPhase::Running && task.phase != TaskPhase::Running && task.running_at == 0)
                     task.running_at = static_cast<float>(now_);
-                if (task.phase == TaskPhase::Fetching && t.phase != TaskPhase::Fetching) {
-                    std::erase(m.images, job.spec.image);
-                    m.images.push_back(job.spec.image);
-                    if (m.images.size() > 16) m.images.erase(m.images.begin());
-                }
+                // The image is there, whoever saw it fetched: a new leader learns so from what runs.
+                if (t.phase != task.phase && t.phase != TaskPhase::Fetching) tables_.saw_image(m, job.spec);
+                bool began = job.running == 0 && t.phase == TaskPhase::Running;
                 tables_.set_phase(job, task, t.phase);
+                if (began)
+                    spdlog::debug("job: {} class={} tasks={} attempt={} runs {:.1f}s after it came, placed {:.1f}s ago",
+                                  job.spec.id, tables_.names.classes.name(job.spec.job_class), job.spec.tasks,
+                                  t.attempt, now_ - job.came_at(), now_ - task.placed_at);
             } else if (expected) {
                 task_exited(it->second, t.task, index, t);
             } else if (exited && t.cause == ExitCause::Done && task.state != TaskState::Done &&
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -151,16 +151,24 @@
         return !owner || owner->priority < job.priority;
     }
 
-    // The zones of the queue with a machine that the job may take, by the lowest index of such a machine.
-    std::vector<Index> zones_of(Index index, FitQueue& queue) const {
-        std::vector<std::pair<Index, Index>> order;
+    // The zones with a machine that the job may take: the one first where most of its tasks find their image, as
+    // a gang waits for the last of its machines to fetch it, then by the lowest index of such a machine.
+    std::vector<Index> zones_of(Index index) {
+        auto& job = *tables_.jobs[index];
+        std::map<Index, int64_t> near;
+        if (job.spec.image_gb > 0) {
+            auto& queue = queues_->of(index, true);
+            for (auto& [z, zone] : queue.zones()) near[z] = std::min<int64_t>(zone.room, job.pending);
+        }
+        auto& queue = queues_->of(index, false);
+        std::vector<std::tuple<int64_t, Index, Index>> order;
         for (auto& [z, zone] : queue.zones()) {
             auto i = FitQueues::lowest(queue, zone, [&](Index m) { return may_take(index, m); });
-            if (i != kNone) order.emplace_back(i, z);
+            if (i != kNone) order.emplace_back(-near[z], i, z);
         }
         std::sort(order.begin(), order.end());
         std::vector<Index> out;
-        for (auto& [i, z] : order) out.push_back(z);
+        for (auto& [images, i, z] : order) out.push_back(z);
         return out;
     }
 
@@ -255,9 +263,10 @@
                 std::vector<Placement>& out) {
     auto& job = *tables.jobs[index];
     if (!tables.within_limit(tables.teams[job.spec.team], held + job.spec.need * job.pending)) return false;
+    if (!pass.candidates(index, false)) return false;
+    auto zones = job.spec.one_zone ? pass.zones_of(index) : std::vector<Index>{kNone};
     auto* queue = pass.candidates(index, false);
-    if (!queue) return false;
-    for (auto zone : job.spec.one_zone ? pass.zones_of(index, *queue) : std::vector<Index>{kNone}) {
+    for (auto zone : zones) {
         if ((zone == kNone ? queue->room() : queue->room(zone)) < job.pending) continue;
         ZoneRule rule(tables, job);
         std::vector<Index> chosen;
@@ -354,9 +363,12 @@
             share += more;
         }
     }
-    for (auto& p : out) {
-        auto& m = *tables.machines[p.machine];
-        if (m.reserved_for == p.job) m.reserved_for = kNone;
+    // What was kept for a job that has its places, here or elsewhere, is anybody's again. Held to the end of its
+    // time, hundreds of GPUs once stood empty for jobs that ran already.
+    for (auto& m : tables.machines) {
+        if (!m || m->reserved_for == kNone) continue;
+        auto* owner = tables.jobs[m->reserved_for].get();
+        if (!owner || !owner->active() || owner->pending == 0) m->reserved_for = kNone;
     }
     return out;
 }
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <map>
+#include <optional>
 
 namespace weirmill {
 
@@ -66,6 +67,20 @@
     int64_t fits = 0;  // tasks of the waiting job on the emptied machine
 };
 
+// Room that is free already, for so many tasks of the waiting job.
+struct Free {
+    Index machine;
+    int64_t fits;
+};
+
+// What one job would get in one zone.
+struct Choice {
+    std::vector<Clearable> list;
+    std::vector<size_t> pick;
+    std::vector<Free> free;
+    double cost = 0;
+};
+
 }  // namespace
 
 PreemptionRound plan_preemption(const Tables& tables, const Usable& usable, double now) {
@@ -78,6 +93,9 @@
         if (taken[i]) reserved[m->reserved_for].push_back(i);
     }
     std::map<std::pair<Index, uint32_t>, bool> stopped;
+    // Of free room, what jobs before this one count on. Counted on by each of them, it once left eight gangs of
+    // 32 with machines cleared for 19 each, and none of them started for a minute.
+    std::vector<Resources> promised(tables.machines.size());
     std::vector<Vain> vain;
     for (auto j : waiting_jobs(tables, now)) {
         auto& job = *tables.jobs[j];
@@ -104,14 +122,13 @@
             zones.clear();
             for (Index z = 0; z < tables.names.zones.size(); ++z) zones.push_back(z);
         }
-        std::vector<Clearable> best;
-        std::vector<size_t> best_pick;
-        double best_cost = 0;
+        std::optional<Choice> best;
         bool has_room = false;
         for (auto zone : zones) {
             ZoneRule rule(tables, job);
             int64_t missing = wanted;
-            std::vector<Clearable> list;
+            Choice choice;
+            auto& list = choice.list;
             std::map<Index, Index> dense;
             std::vector<uint32_t> spans;
             for (Index i = 0; i < tables.machines.size(); ++i) {
@@ -120,11 +137,13 @@
                 if (tables.spares_gpus(job.spec, m->type)) continue;
                 if (zone != kNone && m->zone != zone) continue;
                 if (!rule.allows(m->zone)) continue;
-                auto free = job.spec.need.times_in(m->room());
+                auto free = job.spec.need.times_in(m->room() - promised[i]);
                 if (free > 0) {
                     missing -= free;
+                    choice.free.push_back({i, free});
                     continue;
                 }
+                if (!(promised[i] == Resources{})) continue;
                 Clearable c;
                 c.candidate.machine = i;
                 c.fits = job.spec.need.times_in(m->size);
@@ -154,11 +173,14 @@
                 list.push_back(std::move(c));
             }
             if (missing <= 0) {
-                best.clear();  // there is room: placement will take it
-                best_pick.clear();
+                best = std::move(choice);  // there is room: placement will take it
                 has_room = true;
                 break;
             }
+            // Among equal costs, machines that have the image.
+            std::stable_partition(list.begin(), list.end(), [&](auto& c) {
+                return tables.machines[c.candidate.machine]->has_image(job.spec.image);
+            });
             // N: the fewest whole machines that fit what is missing. Machines that hold the most first.
             std::vector<int64_t> fits;
             for (auto& c : list) fits.push_back(c.fits);
@@ -170,28 +192,37 @@
             std::vector<ClearCandidate> plain;
             for (auto& c : list) plain.push_back(c.candidate);
             // Cheapest first; with machines of different sizes N may fall short, then one more is picked.
-            std::vector<size_t> pick;
+            auto& pick = choice.pick;
             for (; n <= plain.size(); ++n) {
                 pick = pick_cheapest(plain, spans, n);
                 int64_t got = 0;
                 for (auto p : pick) got += list[p].fits;
                 if (got >= missing) break;
             }
-            double cost = 0;
-            for (auto p : pick) cost += preemption_cost(plain[p], spans);
-            if (best_pick.empty() || cost < best_cost) {
-                best = std::move(list);
-                best_pick = std::move(pick);
-                best_cost = cost;
-            }
+            for (auto p : pick) choice.cost += preemption_cost(plain[p], spans);
+            if (!best || choice.cost < best->cost) best = std::move(choice);
         }
-        if (best_pick.empty()) {
-            if (fresh_zones && !has_room) vain.push_back({job.spec, owed, wanted});
+        if (!best) {
+            if (fresh_zones) vain.push_back({job.spec, owed, wanted});
             continue;
         }
-        PreemptionRound::Clearing clearing{j, {}};
-        for (auto p : best_pick) {
-            auto i = best[p].candidate.machine;
+        PreemptionRound::Clearing clearing{j, {}, {}};
+        int64_t counted = 0;
+        for (auto p : best->pick) counted += best->list[p].fits;
+        for (auto& f : best->free) {
+            if (counted >= wanted) break;
+            auto& m = *tables.machines[f.machine];
+            auto n = std::min(f.fits, wanted - counted);
+            counted += n;
+            promised[f.machine] += job.spec.need * n;
+            // A whole machine waits with those that are being emptied.
+            if (has_room || !m.tasks.empty() || job.spec.need.times_in(m.size) > 1) continue;
+            taken[f.machine] = true;
+            clearing.kept.push_back(f.machine);
+        }
+        if (has_room) continue;
+        for (auto p : best->pick) {
+            auto i = best->list[p].candidate.machine;
             clearing.machines.push_back(i);
             taken[i] = true;
             for (auto& ref : tables.machines[i]->tasks) {
--- a/src/coordination/preemption.h
+++ b/src/coordination/preemption.h
@@ -27,6 +27,7 @@
     struct Clearing {
         Index job;                    // for whom
         std::vector<Index> machines;  // to be emptied
+        std::vector<Index> kept;      // empty already, and to be kept for it until those are
     };
     std::vector<Clearing> clearings;
     std::vector<TaskRef> stops;  // gangs everywhere, other tasks only on the machines to be emptied
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -105,6 +105,86 @@
     EXPECT_TRUE(plan_preemption(w.tables, any_machine, w.now).clearings.empty());
 }
 
+TEST(Preemption, JobsOfARoundDoNotCountOnTheSameFreeRoom) {
+    // Eight gangs of 32 once counted on the same 13 free machines each: all had 19 cleared, and none began.
+    World w;
+    auto free = w.machine("free");
+    std::vector<Index> busy;
+    for (int i = 0; i < 3; ++i) {
+        busy.push_back(w.machine("m" + std::to_string(i)));
+        w.running(w.spec("req-1" + std::to_string(i), JobKind::Array, 1, 8, 0, Priority::Low), {busy.back()});
+    }
+    auto first = w.job(w.spec("req-2", JobKind::Gang, 2, 7, 0, Priority::High));
+    auto second = w.job(w.spec("req-3", JobKind::Gang, 2, 7, 0, Priority::High));
+    w.tables.jobs[first]->submitted = 1;
+    auto round = plan_preemption(w.tables, any_machine, w.now);
+    ASSERT_EQ(round.clearings.size(), 2u);
+    EXPECT_EQ(round.clearings[0].job, first);
+    EXPECT_EQ(round.clearings[0].machines, std::vector<Index>{busy[0]});
+    EXPECT_EQ(round.clearings[0].kept, std::vector<Index>{free});
+    EXPECT_EQ(round.clearings[1].job, second);
+    EXPECT_EQ(round.clearings[1].machines, (std::vector<Index>{busy[1], busy[2]}));
+    EXPECT_TRUE(round.clearings[1].kept.empty());
+}
+
+TEST(Placement, WhatWasKeptForAJobIsFreeOnceItHasItsPlaces) {
+    World w;
+    auto m0 = w.machine("m0"), m1 = w.machine("m1");
+    auto gang = w.job(w.spec("req-1", JobKind::Gang, 1, 7, 0, Priority::High));
+    for (auto i : {m0, m1}) {
+        w.tables.machines[i]->reserved_for = gang;
+        w.tables.machines[i]->reserved_until = w.now + 50;
+    }
+    place_waiting(w.tables, any_machine, w.now);
+    auto next = w.job(w.spec("req-2", JobKind::Gang, 1, 7, 0, Priority::High));
+    EXPECT_EQ(place_waiting(w.tables, any_machine, w.now), (std::vector<Placement>{{next, 0, m1, 1}}));
+}
+
+TEST(Placement, AGangGoesWhereItsImageIsAndNotOnSpotMachines) {
+    // It waits for its last machine to fetch the image, and loses the work of all with any one of them.
+    struct Row {
+        const char* why;
+        uint32_t tasks;
+        std::vector<std::string> image_on;
+        std::vector<std::string> expected;
+    };
+    const Row rows[] = {
+        {"nowhere: the first zone", 2, {}, {"a0", "a1"}},
+        {"the zone where more of its tasks find it", 2, {"a0", "b0", "b1"}, {"b0", "b1"}},
+        {"within the zone, machines that have it", 2, {"a1", "a2"}, {"a1", "a2"}},
+        {"one task alone: spot first, as for any", 1, {}, {"as"}},
+        {"more than its tasks counts no more", 1, {"a2", "b0", "b1"}, {"a2"}},
+    };
+    for (auto& row : rows) {
+        World w;
+        for (auto* name : {"a0", "a1", "a2", "b0", "b1", "b2"}) w.machine(name, "std", std::string(1, name[0]));
+        w.machine("as", "std", "a", true);
+        auto spec = w.spec("req-1", JobKind::Gang, row.tasks, 7);
+        spec.one_zone = true;
+        spec.image_gb = 6;
+        for (auto& name : row.image_on) w.tables.machines[w.tables.find_machine(name)]->images = {spec.image};
+        w.job(spec);
+        std::vector<std::string> on;
+        for (auto& p : place_waiting(w.tables, any_machine, w.now)) on.push_back(w.tables.machines[p.machine]->name);
+        EXPECT_EQ(on, row.expected) << row.why;
+    }
+}
+
+TEST(Tables, ImagesOfAMachineAreThoseThatItsCacheHolds) {
+    World w;
+    auto m = w.machine("m0");  // of 50 GB
+    std::vector<JobSpec> specs;
+    for (int i = 0; i < 4; ++i) {
+        specs.push_back(w.spec("req-" + std::to_string(i), JobKind::Array, 1, 1));
+        specs.back().image = w.tables.names.images.intern("i" + std::to_string(i));
+        specs.back().image_gb = 20;
+        w.job(specs.back());
+    }
+    auto& machine = *w.tables.machines[m];
+    for (int i : {0, 1, 0, 2}) w.tables.saw_image(machine, specs[i]);
+    EXPECT_EQ(machine.images, (std::vector<Index>{specs[0].image, specs[2].image}));
+}
+
 TEST(Placement, FitsBestAndSparesGpus) {
     World w;
     auto gpu = w.machine("gpu", "gpu");
--- a/tests/placement_reference.h
+++ b/tests/placement_reference.h
@@ -18,9 +18,11 @@
     auto fit(const Job& job, Index i) const {
         auto& m = *tables.machines[i];
         auto left = m.room() - job.spec.need;
+        bool together = job.spec.kind == JobKind::Gang && job.spec.tasks > 1;
         return std::make_tuple(job.spec.need.gpu == 0 && m.size.gpu > 0, job.failed_on.count(i) > 0,
                                m.tasks.empty(), job.spec.need.gpu > 0 ? left.gpu : left.cpu,
-                               !m.has_image(job.spec.image), !m.spot, left.cpu, left.mem,
+                               together && m.spot, !m.has_image(job.spec.image), !together && !m.spot,
+                               left.cpu, left.mem,
                                tables.report_due_s(m, now));
     }
     std::vector<Index> open{};
@@ -73,6 +75,14 @@
                     std::find(zones.begin(), zones.end(), tables.machines[i]->zone) == zones.end())
                     zones.push_back(tables.machines[i]->zone);
             }
+            std::map<Index, int64_t> near;
+            for (auto i : open) {
+                auto& m = *tables.machines[i];
+                if (tables.machine_allowed(job.spec, m) && image_near(tables, m, job.spec.image))
+                    near[m.zone] += job.spec.need.times_in(m.room());
+            }
+            for (auto& [z, n] : near) n = job.spec.image_gb > 0 ? std::min<int64_t>(n, job.pending) : 0;
+            std::stable_sort(zones.begin(), zones.end(), [&](Index a, Index b) { return near[a] > near[b]; });
         }
         for (auto zone : zones) {
             ZoneRule rule(tables, job);
