Guarantees without CPU figures, deadlines at their several times, as many jobs in time as can be, run times of whole runs

Of 400 jobs within a burst the median began after 100 s and ended after 650: with the one due soonest first nearly all began and were passed by fresher ones once late. A new leader took what it saw of tasks already running for their whole runs, and a class's estimates fell to a quarter after each crash.

--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -18,19 +18,27 @@
         team.settings = t;
         team.guarantee = {milli_down(t.cpus), milli_down(t.gpus), 0};
         team.limit = {milli_down(t.cpus_max), milli_down(t.gpus_max), 0};
+        // What the limit rules out is owed to nobody.
+        if (team.limit.cpu > 0) team.guarantee.cpu = std::min(team.guarantee.cpu, team.limit.cpu);
+        if (team.limit.gpu > 0) team.guarantee.gpu = std::min(team.guarantee.gpu, team.limit.gpu);
         teams.push_back(std::move(team));
     }
     for (auto& z : settings.zones) names.zones.intern(z);
     for (auto& o : settings.objectives) {
-        if (o.job_class.empty() || o.within_s <= 0) continue;
+        bool deadline = o.kind == "deadline" && o.times > 0;
+        if (o.job_class.empty() || (o.within_s <= 0 && !deadline)) continue;
         auto index = names.classes.intern(o.job_class);
         if (classes.size() <= index) classes.resize(index + 1);
         auto& c = classes[index];
         if (o.kind == "wait")
             c.start_within_s = c.start_within_s > 0 ? std::min(c.start_within_s, o.within_s) : o.within_s;
         if (o.kind == "finished") c.done_within_s.push_back(o.within_s);
+        if (deadline) c.deadline_times.push_back(o.times);
+    }
+    for (auto& c : classes) {
+        std::sort(c.done_within_s.begin(), c.done_within_s.end());
+        std::sort(c.deadline_times.begin(), c.deadline_times.end());
     }
-    for (auto& c : classes) std::sort(c.done_within_s.begin(), c.done_within_s.end());
     max_tasks = static_cast<size_t>(settings.mem_mb * 1e6 * 0.3 / sizeof(Task));
 }
 
@@ -64,6 +72,15 @@
     return index;
 }
 
+namespace {
+// Whether a guarantee covers what is used, tasks that need `each` among it. A team that is guaranteed GPUs and has
+// no figure for CPUs was once owed nothing, as each of its tasks takes some.
+bool covers(const Resources& owed, const Resources& use, const Resources& each) {
+    bool with_gpus = owed.cpu == 0 && owed.gpu > 0 && each.gpu > 0;
+    return use.gpu <= owed.gpu && (use.cpu <= owed.cpu || with_gpus);
+}
+}  // namespace
+
 // The job may be placed from now on.
 void Tables::came(Job& job, double now) {
     mark_guaranteed(job);
@@ -81,8 +98,7 @@
         if (other && other.get() != &job && other->spec.team == job.spec.team && !other->waits &&
             other->came() <= job.came())
             sum += other->spec.need * (other->spec.tasks - other->done);
-    auto& owed = teams[job.spec.team].guarantee;
-    job.guaranteed = sum.cpu <= owed.cpu && sum.gpu <= owed.gpu;
+    job.guaranteed = covers(teams[job.spec.team].guarantee, sum, job.spec.need);
 }
 
 void Tables::set_dependencies(Index index, const std::vector<Index>& on, double now) {
@@ -343,27 +359,48 @@
     touch(index, t);
 }
 
+// Every time by which the job should be done, on the steady clock, in no order.
+template <class F>
+void Tables::each_time(const Job& job, F&& f) const {
+    static const std::vector<double> kOnce{1.0};
+    auto* c = job.spec.job_class < classes.size() ? &classes[job.spec.job_class] : nullptr;
+    if (job.spec.deadline_s >= 0)
+        for (double times : c && !c->deadline_times.empty() ? c->deadline_times : kOnce)
+            f(job.seen_at + job.spec.deadline_s * times);
+    if (job.needed_by < 1e17) f(job.needed_by);
+    if (!c) return;
+    for (double within : c->done_within_s) f(job.came_at() + within);
+    // A job that may still start in time ends its run after that.
+    if (c->start_within_s > 0 && job.placed + job.done == 0)
+        f(job.came_at() + c->start_within_s + expected_run_s(job.spec));
+}
+
 double Tables::due(const Job& job, double earliest, int& missed) const {
     missed = 0;
-    double due = 1e18;
-    auto consider = [&](double at) {
+    double due = 1e18, passed = -1e18;  // passed: of those given up, the last
+    each_time(job, [&](double at) {
         if (at < earliest)
             ++missed;
         else
             due = std::min(due, at);
-    };
-    if (job.spec.deadline_s >= 0) consider(job.seen_at + job.spec.deadline_s);
-    if (job.needed_by < 1e17) consider(job.needed_by);
-    if (job.spec.job_class < classes.size()) {
-        auto& c = classes[job.spec.job_class];
-        for (double within : c.done_within_s) consider(job.came_at() + within);
-        // A job that may still start in time ends its run after that.
-        if (c.start_within_s > 0 && job.placed + job.done == 0)
-            consider(job.came_at() + c.start_within_s + expected_run_s(job.spec));
+    });
+    for (uint32_t n = 0; n < job.given_up && due < 1e17; ++n) {
+        passed = due;
+        due = 1e18;
+        each_time(job, [&](double at) {
+            if (at > passed) due = std::min(due, at);
+        });
+        ++missed;
     }
     return due;
 }
 
+size_t Tables::times_asked(const Job& job) const {
+    size_t n = 0;
+    each_time(job, [&](double) { ++n; });
+    return n;
+}
+
 double Tables::expected_run_s(const JobSpec& spec) const {
     return spec.estimate_s * (spec.job_class < classes.size() ? classes[spec.job_class].bias : 1);
 }
@@ -459,12 +496,13 @@
 }
 
 bool Tables::within_guarantee(const Team& team, const Resources& extra) const {
-    auto use = team.used + extra;
     // No guarantee at all means nothing is owed.
-    return use.cpu <= team.guarantee.cpu && use.gpu <= team.guarantee.gpu;
+    return covers(team.guarantee, team.used + extra, extra);
 }
 
-bool Tables::over_guarantee(const Team& team) const { return !within_guarantee(team, {}); }
+bool Tables::over_guarantee(const Team& team, const Resources& each) const {
+    return !covers(team.guarantee, team.used, each);
+}
 
 double Tables::report_due_s(const Machine& m, double now) const {
     double due = m.last_report + report_s_ - now;
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -58,6 +58,8 @@
     double not_before = 0;  // back-off of a job that fails on good machines
     uint32_t failures = 0;
     std::set<Index> failed_on;
+    // Of its times that it could still meet, the first so many are left to others (coordination/overload).
+    uint32_t given_up = 0;
     // All of it fitted its team's guarantee beside the team's unfinished jobs when it came: it need not wait
     // for other teams.
     bool guaranteed = false;
@@ -136,6 +138,7 @@
 struct JobClass {
     double start_within_s = 0;                         // 0: nothing is asked
     std::vector<double> done_within_s;                 // shortest first
+    std::vector<double> deadline_times;                // of a job's own deadline; shortest first, or none: once
     double bias = 1, learnt = 0;                       // run time over estimate; weight of the evidence
     std::deque<std::pair<double, uint32_t>> arrivals;  // of recent jobs: when, how many tasks
     JobSpec last;                                      // the newest of them
@@ -211,8 +214,9 @@
     }
 
     // What a job should still be done by, on the steady clock, given that it can't be before `earliest`;
-    // `missed`: how many such times are past saving.
+    // `missed`: how many such times are past saving, or given up.
     double due(const Job& job, double earliest, int& missed) const;
+    size_t times_asked(const Job& job) const;
     double stretch(const JobSpec& spec) const {
         if (spec.job_class >= classes.size()) return 0;
         auto& by_team = classes[spec.job_class].stretch;
@@ -238,13 +242,17 @@
     bool machine_allowed(const JobSpec& spec, const Machine& m) const;
     bool below_limit(const Team& team, const Resources& use) const;
     bool within_limit(const Team& team, const Resources& extra) const;
+    // A team without a figure for CPUs is owed those that its tasks with GPUs take beside them.
     bool within_guarantee(const Team& team, const Resources& extra) const;
-    bool over_guarantee(const Team& team) const;
+    // Whether the team's work beyond its guarantee includes tasks that need `each`.
+    bool over_guarantee(const Team& team, const Resources& each) const;
     // Until the machine's worker should report, and can be told to start something; late ones may be silent.
     double report_due_s(const Machine& m, double now) const;
     bool refused(Index type, Index zone, bool spot, double now) const;
 
   private:
+    template <class F>
+    void each_time(const Job& job, F&& f) const;
     void came(Job& job, double now);
     bool take_needs(Index job);
     void spread_needs_from(Index job);
--- a/src/coordination/account.cpp
+++ b/src/coordination/account.cpp
@@ -4,8 +4,9 @@
 
 namespace {
 
-constexpr const char* kNames[kRoomKinds] = {"booting",  "running", "starting", "fetching", "gathering", "stopping",
-                                            "silent",   "leaving", "shunned",  "reserved", "empty",     "fragment"};
+constexpr const char* kNames[kRoomKinds] = {"booting",   "running",  "starting", "fetching",
+                                            "gathering", "stopping", "silent",   "leaving",
+                                            "shunned",   "reserved", "empty",    "fragment"};
 
 RoomIs taken_by(const Task& task) {
     if (task.stopping || task.phase == TaskPhase::Saving) return RoomIs::Stopping;
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -224,6 +224,12 @@
         if (spdlog::should_log(spdlog::level::debug) && now_ >= next_account_) {
             next_account_ = now_ + kAccount_s;
             spdlog::debug("room: {}", account_text(account_room(tables_, usable_now(), now_)));
+            for (auto& [key, q] : forecast_.queues())
+                if (q.jobs > 0)
+                    spdlog::debug("queue: {} of {}, {} jobs wait, {} of them give up a time, {:.0f} units in use, {:.0f} left, "
+                                  "drains in {:.0f}s of {:.0f}s",
+                                  tables_.names.classes.name(key.job_class), tables_.names.teams.name(key.team),
+                                  q.jobs, q.give_up, q.in_use, q.left, q.drain_s, q.within_s);
         }
         dirty_ = true;  // back-offs and quarantines end with time alone
     }
--- a/src/coordination/leader_tasks.cpp
+++ b/src/coordination/leader_tasks.cpp
@@ -11,6 +11,12 @@
 
 namespace asio = boost::asio;
 
+// What this leader saw of it is its whole run. Learnt from tasks that an earlier leader had started, or that went
+// on from saved progress, a class's run times came out at a quarter after each change of leader.
+static bool ran_whole(const Task& task) {
+    return task.running_at > 0 && task.start_seq > 0 && task.attempt <= 1;
+}
+
 void Leader::task_exited(Index j, uint32_t t, Index machine, const TaskReport& r) {
     auto& job = *tables_.jobs[j];
     auto& m = *tables_.machines[machine];
@@ -20,7 +26,7 @@
     if (r.cause == ExitCause::Done && job.spec.kind != JobKind::Service) {
         m.faulty_jobs.clear();
         m.faults = 0;
-        if (job.tasks[t].running_at > 0) tables_.learn_run(job.spec, now_ - job.tasks[t].running_at);
+        if (ran_whole(job.tasks[t])) tables_.learn_run(job.spec, now_ - job.tasks[t].running_at);
         if (gang) {  // if one task is done, every one is
             for (uint32_t i = 0; i < job.tasks.size(); ++i) tables_.finish(j, i, now_);
         } else {
--- a/src/coordination/overload/forecast.cpp
+++ b/src/coordination/overload/forecast.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "coordination/overload/in_time.h"
+
 namespace weirmill {
 
 namespace {
@@ -35,6 +37,8 @@
 std::map<QueueKey, QueueForecast> forecast(const Tables& tables, const std::map<QueueKey, double>& used) {
     std::map<QueueKey, QueueForecast> out;
     std::map<QueueKey, std::pair<bool, double>> deadlines;  // GPUs; sum of the waiting jobs' deadlines
+    std::map<QueueKey, Priority> priorities;
+    std::map<Priority, double> by_priority[2];  // units that all tasks of a priority would have at once
     for (auto& job : tables.jobs) {
         if (!job || !job->active() || job->waits) continue;
         QueueKey key{job->spec.team, job->spec.job_class};
@@ -45,6 +49,9 @@
         q.wanted += each * (job->placed + job->pending);
         auto& d = deadlines[key];
         d.first = gpu;
+        auto& priority = priorities.emplace(key, job->priority).first->second;
+        priority = std::max(priority, job->priority);
+        by_priority[gpu][job->priority] += each * (job->placed + job->pending);
         if (job->pending == 0) continue;
         ++q.jobs;
         q.waiting += waiting_work(tables, *job);
@@ -60,10 +67,18 @@
         else if (q.jobs > 0)
             q.within_s = sum / q.jobs;
         double part = wanted[gpu] > 0 ? units(have, gpu) * q.wanted / wanted[gpu] : 0;
+        double left = units(have, gpu), equals = 0;
+        for (auto& [priority, sum_of] : by_priority[gpu]) {
+            if (priority > priorities[key]) left -= sum_of;
+            if (priority == priorities[key]) equals = sum_of;
+        }
+        left = equals > 0 ? std::max(0.0, left) * std::min(1.0, q.wanted / equals) : 0;
         double limit = key.team < tables.teams.size() ? units(tables.teams[key.team].limit, gpu) : 0;
-        if (limit > 0) part = std::min(part, limit);
+        if (limit > 0) part = std::min(part, limit), left = std::min(left, limit);
         auto learned = used.find(key);
-        q.units = std::max({part, q.in_use, learned == used.end() ? 0 : learned->second});
+        double had = std::max(q.in_use, learned == used.end() ? 0 : learned->second);
+        q.units = std::max(part, had);
+        q.left = std::max(left, had);
         if (q.jobs == 0) continue;
         q.mean_work = q.waiting / q.jobs;
         q.drain_s = q.units > 0 ? q.waiting / q.units : 0;  // no machine yet: nothing is known
@@ -81,6 +96,15 @@
     }
     std::erase_if(used_, [&](auto& u) { return !queues_.count(u.first); });
     pressed_ = 0;
+    std::map<QueueKey, std::vector<Index>> waiting;
+    for (Index j = 0; j < tables.jobs.size(); ++j)
+        if (auto* job = tables.jobs[j].get(); job && job->active() && !job->waits)
+            waiting[{job->spec.team, job->spec.job_class}].push_back(j);
+    for (auto& [key, jobs] : waiting) {
+        give_up_times(tables, jobs, queues_[key].left, now);
+        queues_[key].give_up = static_cast<uint32_t>(
+            std::count_if(jobs.begin(), jobs.end(), [&](Index j) { return tables.jobs[j]->given_up > 0; }));
+    }
     for (Index c = 0; c < tables.classes.size(); ++c) {
         auto& by_team = tables.classes[c].stretch;
         by_team.resize(tables.teams.size());
--- a/src/coordination/overload/forecast.h
+++ b/src/coordination/overload/forecast.h
@@ -20,9 +20,11 @@
     double in_use = 0;     // units that its tasks have
     double wanted = 0;     // units that all its tasks, placed and waiting, would have at once
     uint32_t jobs = 0;     // that wait
+    uint32_t give_up = 0;  // of those, one of their times
     double mean_work = 0;  // of a waiting job, in seconds of units
     double within_s = 0;   // what its users expect: the last of its class's times, or its jobs' deadlines
     double units = 0;  // that it may count on: learned, or its part of what the machines and its limit allow
+    double left = 0;  // the same where work of higher priority has all that it wants: what serves it for sure
     double drain_s = 0;  // until what waits now has been served
 };
 
--- /dev/null
+++ b/src/coordination/overload/in_time.cpp
@@ -0,0 +1,63 @@
+#include "coordination/overload/in_time.h"
+
+#include <algorithm>
+#include <queue>
+
+#include "coordination/overload/forecast.h"
+
+namespace weirmill {
+
+std::vector<Index> given_up(std::vector<Contender> jobs, double units, double before) {
+    std::vector<Index> out;
+    if (units <= 0) return out;  // no machine yet: nothing is known
+    std::sort(jobs.begin(), jobs.end(),
+              [](auto& a, auto& b) { return std::tie(a.start, a.job) < std::tie(b.start, b.job); });
+    auto less = [](const Contender& a, const Contender& b) {
+        return std::tie(a.work, a.job) < std::tie(b.work, b.job);
+    };
+    std::priority_queue<Contender, std::vector<Contender>, decltype(less)> kept(less);
+    double sum = before;
+    for (auto& c : jobs) {
+        sum += c.work;
+        kept.push(c);
+        if (sum <= c.start * units) continue;
+        sum -= kept.top().work;
+        out.push_back(kept.top().job);
+        kept.pop();
+    }
+    return out;
+}
+
+void give_up_times(Tables& tables, const std::vector<Index>& queue, double units, double now) {
+    std::vector<Index> jobs;
+    size_t levels = 0;
+    for (auto j : queue) {
+        auto& job = *tables.jobs[j];
+        job.given_up = 0;
+        // A gang has machines cleared for it: what its queue has in use says little of when it starts.
+        if (job.spec.kind == JobKind::Array && job.pending > 0) jobs.push_back(j);
+    }
+    for (auto j : jobs) levels = std::max(levels, tables.times_asked(*tables.jobs[j]));
+    double before = 0;
+    // Those that can meet their first time go before those that can only meet the next.
+    for (size_t level = 0; level < levels; ++level) {
+        std::vector<Contender> contenders;
+        for (auto j : jobs) {
+            auto& job = *tables.jobs[j];
+            double run = tables.expected_run_s(job.spec);
+            int missed;
+            double due = tables.due(job, now + run, missed);
+            if (due > 1e17 || missed != static_cast<int>(level)) continue;
+            contenders.push_back({j, waiting_work(tables, job), due - run - now});
+        }
+        double work = 0;
+        for (auto& c : contenders) work += c.work;
+        for (auto j : given_up(std::move(contenders), units, before)) {
+            work -= waiting_work(tables, *tables.jobs[j]);
+            ++tables.jobs[j]->given_up;
+        }
+        before += work;
+    }
+}
+
+}  // namespace weirmill
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -43,7 +43,7 @@
     // Work beyond its team's guarantee gives way to a team that is owed its own.
     auto& owed = tables.teams[job.spec.team];
     auto& taker = tables.teams[victim.spec.team];
-    return victim.spec.team != job.spec.team && tables.over_guarantee(taker) &&
+    return victim.spec.team != job.spec.team && tables.over_guarantee(taker, victim.spec.need) &&
            tables.within_guarantee(
                owed, job.spec.kind == JobKind::Array ? job.spec.need : job.spec.need * job.pending);
 }
@@ -93,8 +93,8 @@
         if (taken[i]) reserved[m->reserved_for].push_back(i);
     }
     std::map<std::pair<Index, uint32_t>, bool> stopped;
-    // Of free room, what jobs before this one count on. Counted on by each of them, it once left eight gangs of
-    // 32 with machines cleared for 19 each, and none of them started for a minute.
+    // Of free room, what jobs before this one count on. Counted on by each of them, it once left eight gangs
+    // of 32 with machines cleared for 19 each, and none of them started for a minute.
     std::vector<Resources> promised(tables.machines.size());
     std::vector<Vain> vain;
     for (auto j : waiting_jobs(tables, now)) {
