A few machines stay empty for gangs that should start sooner than a boot; what can be cleared is not kept idle

Change: work of lower priority leaves as many machines empty as gangs come to while others are cleared; beyond that a spare counts machines full of lower arrays that save.

--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -19,6 +19,7 @@
 const std::string kOldJobs = "j/";
 constexpr double kAsk_s = 2.0;
 constexpr double kSettle_s = 0.6;
+constexpr size_t kMostPlaced = 4096;  // in one pass
 constexpr double kAccount_s = 5;  // between lines about where the room is
 
 }  // namespace
@@ -264,7 +265,7 @@
     if (!decides()) return;
     dirty_ = false;
     ++passes_;
-    place_waiting(tables_, usable_now(), now_);
+    place_waiting(tables_, usable_now(), now_, kMostPlaced, spares(tables_, sizing(), now_));
 }
 
 void Leader::preempt() {
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -213,6 +213,7 @@
     void schedule();
     void preempt();
     void size_fleet();
+    SizingSettings sizing() const;
     void flush();
     void flush_stops();
     bool usable(const Machine& m) const;
--- a/src/coordination/leader_fleet.cpp
+++ b/src/coordination/leader_fleet.cpp
@@ -18,6 +18,7 @@
 // come back with their images, which a replacement would have to fetch as well.
 constexpr double kAloneBoots = 1;
 constexpr double kCutBoots = 3;
+constexpr double kStopped_s = 3;  // from the order to a task until its place is free
 
 }  // namespace
 
@@ -144,11 +145,15 @@
     }
 }
 
+SizingSettings Leader::sizing() const {
+    // A round may just be over; then tasks save, and their workers say that they are gone.
+    return {properties_.idle_keep_boots, settings_.report_s, properties_.preemption_round_s + kStopped_s};
+}
+
 void Leader::size_fleet() {
     if (!tables_.types_known || !listed_once_ || !decides()) return;
-    SizingSettings sizing{properties_.idle_keep_boots, settings_.report_s};
     if (!returning_) {
-        auto idle = plan_returns(tables_, sizing, now_);
+        auto idle = plan_returns(tables_, sizing(), now_);
         std::vector<std::string> names;
         for (auto i : idle) {
             if (names.size() == 100) break;
@@ -173,7 +178,7 @@
         }
     }
     if (!renting_ && now_ >= rent_not_before_) {
-        auto rentals = plan_rentals(tables_, can_use, sizing, now_);
+        auto rentals = plan_rentals(tables_, can_use, sizing(), now_);
         if (!rentals.empty()) {
             renting_ = true;
             asio::co_spawn(io_, rent(shared_from_this(), std::move(rentals)), asio::detached);
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -102,7 +102,8 @@
 // One pass over the waiting jobs. Room only shrinks during it.
 class Pass {
   public:
-    Pass(Tables& tables, const Usable& usable, const std::vector<std::vector<Index>>& ranks, double now)
+    Pass(Tables& tables, const Usable& usable, const std::vector<std::vector<Index>>& ranks, double now,
+         const std::vector<Spare>& spare)
         : tables_(tables), now_(now) {
         Resources least;
         bool any = false;
@@ -124,6 +125,13 @@
             if (m->reserved(now)) reserved_for_.push_back(m->reserved_for);
         }
         queues_.emplace(tables, open_, waiting, now);
+        for (auto& s : spare) {
+            if (s.at_once <= 0) continue;
+            Kept kept{s.like, -s.at_once};
+            for (auto i : open_)
+                if (keeps(kept, *tables.machines[i])) kept.beyond += s.like->need.times_in(tables.machines[i]->size);
+            kept_.push_back(kept);
+        }
     }
 
     // Machines with room for a task of the job, best fit first; null: there are none. `near`: where its image
@@ -146,6 +154,8 @@
         auto& job = *tables_.jobs[index];
         if (auto held = held_.find(machine); held != held_.end() && held->second > job.priority) return false;
         auto& m = *tables_.machines[machine];
+        for (auto& k : kept_)
+            if (k.beyond <= 0 && job.priority < k.like->priority && keeps(k, m)) return false;
         if (!m.reserved(now_) || m.reserved_for == index) return true;
         auto* owner = tables_.jobs[m.reserved_for].get();
         return !owner || owner->priority < job.priority;
@@ -231,7 +241,13 @@
     }
 
     // The task is on the machine.
-    void placed(Index machine) { queues_->taken(machine); }
+    void placed(Index machine) {
+        queues_->taken(machine);
+        auto& m = *tables_.machines[machine];
+        if (m.tasks.size() > 1 || m.reserved_for != kNone) return;
+        for (auto& k : kept_)
+            if (suits(k, m)) k.beyond -= k.like->need.times_in(m.size);
+    }
 
     // What tasks like this one could take of the machines that are there or coming up, were all of them
     // empty.
@@ -248,8 +264,20 @@
     }
 
   private:
+    // Empty machines for jobs like this one, and how many of its tasks they hold beyond what is to be kept.
+    struct Kept {
+        const JobSpec* like;
+        int64_t beyond;
+    };
+    bool suits(const Kept& kept, const Machine& m) const {
+        return tables_.machine_allowed(*kept.like, m) && !tables_.spares_gpus(*kept.like, m.type);
+    }
+    bool keeps(const Kept& kept, const Machine& m) const {
+        return m.tasks.empty() && m.reserved_for == kNone && suits(kept, m);
+    }
     Tables& tables_;
     double now_;
+    std::vector<Kept> kept_;
     std::vector<Index> open_, reserved_for_;
     std::optional<FitQueues> queues_;
     Priority lowest_ = Priority::Production;  // of the waiting jobs
@@ -316,10 +344,11 @@
 
 }  // namespace
 
-std::vector<Placement> place_waiting(Tables& tables, const Usable& usable, double now, size_t most) {
+std::vector<Placement> place_waiting(Tables& tables, const Usable& usable, double now, size_t most,
+                                     const std::vector<Spare>& spare) {
     std::vector<Placement> out;
     auto ranks = waiting_ranks(tables, now);
-    Pass pass(tables, usable, ranks, now);
+    Pass pass(tables, usable, ranks, now, spare);
     // Of each team's limit, what its large jobs are waiting for: small tasks that come after them would
     // otherwise fill the limit again each time that one ends, and a large job would never get its share.
     // What could not be filled by large jobs alone is left to the others.
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -24,8 +24,17 @@
 std::vector<std::vector<Index>> waiting_ranks(const Tables& tables, double now);
 bool image_near(const Tables& tables, const Machine& m, Index image);
 
-// Places what fits, marking it in the tables, and returns it.
-std::vector<Placement> place_waiting(Tables& tables, const Usable& usable, double now, size_t most = 4096);
+// Room to keep for a class whose jobs should start sooner than a new machine comes up.
+struct Spare {
+    const JobSpec* like;
+    int64_t tasks;    // that should find room, free or soon cleared
+    int64_t at_once;  // of those, on empty machines: what comes while others are cleared
+};
+
+// Places what fits, marking it in the tables, and returns it. Work of lower priority leaves the `spare` machines
+// empty.
+std::vector<Placement> place_waiting(Tables& tables, const Usable& usable, double now, size_t most = 4096,
+                                     const std::vector<Spare>& spare = {});
 
 // Zones that tasks of the job may be in, for jobs bound to one zone or spread over several.
 struct ZoneRule {
--- a/src/coordination/sizing.h
+++ b/src/coordination/sizing.h
@@ -18,16 +18,13 @@
 struct SizingSettings {
     double idle_keep_boots = 0.3;
     double report_s = 1;
+    double clear_s = 13;  // until a machine is cleared for a job that comes now
     // Kinds of equal tasks whose machines are kept in order between jobs; 0: looked at anew for each job. The
     // plan is the same.
     size_t kept_kinds = 8;
 };
 
-// Room to keep free for a class whose jobs should start sooner than a new machine comes up.
-struct Spare {
-    const JobSpec* like;
-    int64_t tasks;
-};
+// What such classes of the last minutes ask for (Spare).
 std::vector<Spare> spares(const Tables& tables, const SizingSettings& settings, double now);
 
 // By zone: most machines there that once reported are silent. The zone is cut off: its machines are sound,
