A gang's launches wait for its slowest fetch, and fetches outlive a failed attempt

Change: tasks whose machine has the image are launched once the slowest fetch will be over in time; where a gang fails for waiting, tasks that still fetch are stopped only when they have. Where all of a queue fits at once nobody gives up a time.

--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -384,7 +384,9 @@
         else
             due = std::min(due, at);
     });
-    for (uint32_t n = 0; n < job.given_up && due < 1e17; ++n) {
+    // What others wait for keeps its times.
+    uint32_t given_up = job.needed_by < 1e17 ? 0 : job.given_up;
+    for (uint32_t n = 0; n < given_up && due < 1e17; ++n) {
         passed = due;
         due = 1e18;
         each_time(job, [&](double at) {
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -22,7 +22,7 @@
     uint32_t session = 0;    // of that machine, when it was placed
     uint64_t change = 0;     // the tables' change number at this task's last change
     uint64_t start_seq = 0;  // the report answered with its start, 0: none yet
-    float placed_at = 0, running_at = 0;
+    float placed_at = 0, running_at = 0;  // placed_at: once it is launched, when that was
     TaskState state = TaskState::Pending;
     TaskPhase phase = TaskPhase::Unseen;
     bool stopping = false;
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -20,7 +20,7 @@
 constexpr double kAsk_s = 2.0;
 constexpr double kSettle_s = 0.6;
 constexpr size_t kMostPlaced = 4096;  // in one pass
-constexpr double kAccount_s = 5;  // between lines about where the room is
+constexpr double kAccount_s = 5;      // between lines about where the room is
 
 }  // namespace
 
@@ -227,10 +227,12 @@
             spdlog::debug("room: {}", account_text(account_room(tables_, usable_now(), now_)));
             for (auto& [key, q] : forecast_.queues())
                 if (q.jobs > 0)
-                    spdlog::debug("queue: {} of {}, {} jobs wait, {} of them give up a time, {:.0f} units in use, {:.0f} left, "
-                                  "drains in {:.0f}s of {:.0f}s",
-                                  tables_.names.classes.name(key.job_class), tables_.names.teams.name(key.team),
-                                  q.jobs, q.give_up, q.in_use, q.left, q.drain_s, q.within_s);
+                    spdlog::debug(
+                        "queue: {} of {}, {} jobs wait, {} of them give up a time, {:.0f} units in use, "
+                        "{:.0f} left, "
+                        "drains in {:.0f}s of {:.0f}s",
+                        tables_.names.classes.name(key.job_class), tables_.names.teams.name(key.team), q.jobs,
+                        q.give_up, q.in_use, q.left, q.drain_s, q.within_s);
         }
         dirty_ = true;  // back-offs and quarantines end with time alone
     }
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -200,7 +200,7 @@
     void task_exited(Index job, uint32_t task, Index machine, const TaskReport& t);
     void task_failed(Index job, Index machine);
     void lose_task(Index job, uint32_t task);
-    void end_gang(Index job, bool graceful);
+    void end_gang(Index job, bool graceful, bool fetch_on = false);
     void check_job(Index job);
     void stop_task(Index job, uint32_t task, bool graceful);
     void drain(Index machine, double notice_s);
--- a/src/coordination/leader_fleet.cpp
+++ b/src/coordination/leader_fleet.cpp
@@ -147,7 +147,11 @@
 
 SizingSettings Leader::sizing() const {
     // A round may just be over; then tasks save, and their workers say that they are gone.
-    return {properties_.idle_keep_boots, settings_.report_s, properties_.preemption_round_s + kStopped_s};
+    SizingSettings s;
+    s.idle_keep_boots = properties_.idle_keep_boots;
+    s.report_s = settings_.report_s;
+    s.clear_s = properties_.preemption_round_s + kStopped_s;
+    return s;
 }
 
 void Leader::size_fleet() {
--- a/src/coordination/leader_tasks.cpp
+++ b/src/coordination/leader_tasks.cpp
@@ -11,8 +11,8 @@
 
 namespace asio = boost::asio;
 
-// What this leader saw of it is its whole run. Learnt from tasks that an earlier leader had started, or that went
-// on from saved progress, a class's run times came out at a quarter after each change of leader.
+// What this leader saw of it is its whole run. Learnt from tasks that an earlier leader had started, or that
+// went on from saved progress, a class's run times came out at a quarter after each change of leader.
 static bool ran_whole(const Task& task) {
     return task.running_at > 0 && task.start_seq > 0 && task.attempt <= 1;
 }
@@ -42,7 +42,7 @@
     if (r.cause == ExitCause::Error) task_failed(j, machine);
     if (r.cause == ExitCause::NoRoom || r.cause == ExitCause::Busy || r.cause == ExitCause::Unknown)
         job.not_before = std::max(job.not_before, now_ + 1.0);
-    if (gang) end_gang(j, was_graceful);
+    if (gang) end_gang(j, was_graceful, r.cause == ExitCause::Alone);
     check_job(j);
 }
 
@@ -88,12 +88,17 @@
     check_job(j);
 }
 
-// The gang's current attempt is over. Its other tasks must all be gone before the next one.
-void Leader::end_gang(Index j, bool graceful) {
+// The gang's current attempt is over. Its other tasks must all be gone before the next one. `fetch_on`: not
+// before they have their images. Stopped, a worker gives its fetch up; a gang whose image takes longer than
+// its tasks wait for each other once began anew every half minute to the end of the day.
+void Leader::end_gang(Index j, bool graceful, bool fetch_on) {
     auto& job = *tables_.jobs[j];
     job.gang_ending = job.placed > 0;
-    for (uint32_t t = 0; t < job.tasks.size(); ++t)
-        if (job.tasks[t].state == TaskState::Placed && !job.tasks[t].stopping) stop_task(j, t, graceful);
+    for (uint32_t t = 0; t < job.tasks.size(); ++t) {
+        auto& task = job.tasks[t];
+        if (task.state != TaskState::Placed || task.stopping) continue;
+        if (!fetch_on || task.phase != TaskPhase::Fetching) stop_task(j, t, graceful);
+    }
 }
 
 // What follows from the counts of a job.
--- a/src/coordination/leader_workers.cpp
+++ b/src/coordination/leader_workers.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio.hpp>
 
+#include "coordination/gangs/gather.h"
 #include "coordination/leader.h"
 #include "protocol/worker_codec.h"
 
@@ -134,10 +135,13 @@
                 if (t.phase != task.phase && t.phase != TaskPhase::Fetching) tables_.saw_image(m, job.spec);
                 bool began = job.running == 0 && t.phase == TaskPhase::Running;
                 tables_.set_phase(job, task, t.phase);
+                if (job.gang_ending && !task.stopping && t.phase != TaskPhase::Fetching)
+                    stop_task(it->second, t.task, false);  // it was left to fetch its image
                 if (began)
-                    spdlog::debug("job: {} class={} tasks={} attempt={} runs {:.1f}s after it came, placed {:.1f}s ago",
-                                  job.spec.id, tables_.names.classes.name(job.spec.job_class), job.spec.tasks,
-                                  t.attempt, now_ - job.came_at(), now_ - task.placed_at);
+                    spdlog::debug(
+                        "job: {} class={} tasks={} attempt={} runs {:.1f}s after it came, placed {:.1f}s ago",
+                        job.spec.id, tables_.names.classes.name(job.spec.job_class), job.spec.tasks,
+                        t.attempt, now_ - job.came_at(), now_ - task.placed_at);
             } else if (expected) {
                 task_exited(it->second, t.task, index, t);
             } else if (exited && t.cause == ExitCause::Done && task.state != TaskState::Done &&
@@ -206,7 +210,10 @@
                 {CommandOp::Stop, job.spec.id, ref.task, task.attempt, stop_grace_s(job, task)});
         } else if (task.phase == TaskPhase::Unseen && may_start && job.active() &&
                    task.session == m.session && m.notice_until < 0 && !m.returning &&
-                   tables_.recorded(job, ref.task)) {
+                   tables_.recorded(job, ref.task) &&
+                   (task.start_seq > 0 ||
+                    may_launch(tables_, job, ref.task, settings_.gang_wait_s, settings_.report_s, now_))) {
+            if (task.start_seq == 0) task.placed_at = static_cast<float>(now_);
             task.start_seq = held.seq;
             commands.push_back({CommandOp::Start, job.spec.id, ref.task, task.attempt, 0});
         }
--- a/src/coordination/overload/forecast.cpp
+++ b/src/coordination/overload/forecast.cpp
@@ -101,8 +101,10 @@
         if (auto* job = tables.jobs[j].get(); job && job->active() && !job->waits)
             waiting[{job->spec.team, job->spec.job_class}].push_back(j);
     for (auto& [key, jobs] : waiting) {
-        give_up_times(tables, jobs, queues_[key].left, now);
-        queues_[key].give_up = static_cast<uint32_t>(
+        auto& q = queues_[key];
+        // Where all of it fits at once, none waits for another.
+        give_up_times(tables, jobs, q.left < q.wanted ? q.left : 0, now);
+        q.give_up = static_cast<uint32_t>(
             std::count_if(jobs.begin(), jobs.end(), [&](Index j) { return tables.jobs[j]->given_up > 0; }));
     }
     for (Index c = 0; c < tables.classes.size(); ++c) {
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -53,9 +53,9 @@
         // Among equals, those that can still be in time go first, and of them the one due soonest.
         int missed;
         double due = tables.due(*job, now + tables.expected_run_s(job->spec), missed);
-        // Where they can't all be in time, shorter work goes first, so that as many as can be are; a job waits in
-        // proportion to its work at the most, as later ones count from when they came. What others wait for keeps
-        // the time by which those need it.
+        // Where they can't all be in time, shorter work goes first, so that as many as can be are; a job
+        // waits in proportion to its work at the most, as later ones count from when they came. What others
+        // wait for keeps the time by which those need it.
         if (double stretch = tables.stretch(job->spec); stretch > 0 && job->needed_by > 1e17) {
             missed = 0;
             due = job->came_at() + stretch * waiting_work(tables, *job);
@@ -129,7 +129,8 @@
             if (s.at_once <= 0) continue;
             Kept kept{s.like, -s.at_once};
             for (auto i : open_)
-                if (keeps(kept, *tables.machines[i])) kept.beyond += s.like->need.times_in(tables.machines[i]->size);
+                if (keeps(kept, *tables.machines[i]))
+                    kept.beyond += s.like->need.times_in(tables.machines[i]->size);
             kept_.push_back(kept);
         }
     }
@@ -161,8 +162,8 @@
         return !owner || owner->priority < job.priority;
     }
 
-    // The zones with a machine that the job may take: the one first where most of its tasks find their image, as
-    // a gang waits for the last of its machines to fetch it, then by the lowest index of such a machine.
+    // The zones with a machine that the job may take: the one first where most of its tasks find their image,
+    // as a gang waits for the last of its machines to fetch it, then by the lowest index of such a machine.
     std::vector<Index> zones_of(Index index) {
         auto& job = *tables_.jobs[index];
         std::map<Index, int64_t> near;
@@ -392,8 +393,8 @@
             share += more;
         }
     }
-    // What was kept for a job that has its places, here or elsewhere, is anybody's again. Held to the end of its
-    // time, hundreds of GPUs once stood empty for jobs that ran already.
+    // What was kept for a job that has its places, here or elsewhere, is anybody's again. Held to the end of
+    // its time, hundreds of GPUs once stood empty for jobs that ran already.
     for (auto& m : tables.machines) {
         if (!m || m->reserved_for == kNone) continue;
         auto* owner = tables.jobs[m->reserved_for].get();
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -194,8 +194,8 @@
             return static_cast<int64_t>(std::ceil(mean + std::sqrt(mean)));
         };
         Spare spare{&c.last, std::max<int64_t>(largest, within(fresh)), 0};
-        // Where machines are cleared soon enough, only what comes until then needs empty ones: as many as come
-        // while a machine boots once stood idle beside machines full of work that gives way.
+        // Where machines are cleared soon enough, only what comes until then needs empty ones: as many as
+        // come while a machine boots once stood idle beside machines full of work that gives way.
         if (tables.large(c.last) && settings.clear_s + settings.report_s <= c.start_within_s) {
             spare.at_once = within(settings.clear_s);
             spare.tasks = std::max(spare.at_once, spare.tasks - clearable(tables, c.last));
--- a/src/coordination/sizing.h
+++ b/src/coordination/sizing.h
@@ -18,10 +18,10 @@
 struct SizingSettings {
     double idle_keep_boots = 0.3;
     double report_s = 1;
-    double clear_s = 13;  // until a machine is cleared for a job that comes now
     // Kinds of equal tasks whose machines are kept in order between jobs; 0: looked at anew for each job. The
     // plan is the same.
     size_t kept_kinds = 8;
+    double clear_s = 13;  // until a machine is cleared for a job that comes now
 };
 
 // What such classes of the last minutes ask for (Spare).
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -3,6 +3,7 @@
 
 #include <random>
 
+#include "coordination/gangs/gather.h"
 #include "coordination/placement.h"
 #include "coordination/preemption.h"
 #include "coordination/sizing.h"
@@ -185,6 +186,128 @@
     EXPECT_EQ(machine.images, (std::vector<Index>{specs[0].image, specs[2].image}));
 }
 
+TEST(Gangs, TasksThatWouldWaitTooLongForAFetchAreLaunchedAfterIt) {
+    // An image that takes longer to fetch than tasks wait for each other: those that had it gave up, the fetch was
+    // given up with them, and the gang began anew for ever.
+    struct Row {
+        const char* why;
+        double gb;                   // at 1 GB/s, by protocol up to half as long again
+        bool launched;               // the task that fetches
+        double ago;                  // when
+        std::vector<bool> has;       // of three tasks
+        std::vector<bool> launches;  // whether each may be launched
+    };
+    // Patience: 30 s, less a late report of 2.5 s and one to spare.
+    const Row rows[] = {
+        {"a short fetch", 15, false, 0, {true, false, true}, {true, true, true}},
+        {"a long one: who fetches goes first", 30, false, 0, {true, false, true}, {false, true, false}},
+        {"just launched", 30, true, 0, {true, false, true}, {false, true, false}},
+        {"it may take 45 s, 15 have gone", 30, true, 15, {true, false, true}, {false, true, false}},
+        {"19 have gone", 30, true, 19, {true, false, true}, {true, true, true}},
+        {"all have it", 30, false, 0, {true, true, true}, {true, true, true}},
+        {"nobody has it", 30, false, 0, {false, false, false}, {true, true, true}},
+    };
+    for (auto& row : rows) {
+        World w;
+        std::vector<Index> on{w.machine("m0"), w.machine("m1"), w.machine("m2")};
+        auto spec = w.spec("req-1", JobKind::Gang, 3, 7);
+        spec.image_gb = row.gb;
+        auto j = w.running(spec, on);
+        auto& job = *w.tables.jobs[j];
+        for (uint32_t t = 0; t < 3; ++t)
+            if (row.has[t]) w.tables.machines[on[t]]->images = {spec.image};
+        if (row.launched) {
+            job.tasks[1].start_seq = 7;
+            job.tasks[1].placed_at = static_cast<float>(w.now - row.ago);
+        }
+        for (uint32_t t = 0; t < 3; ++t)
+            EXPECT_EQ(may_launch(w.tables, job, t, 30, 2, w.now), row.launches[t]) << row.why << ", task " << t;
+    }
+}
+
+TEST(Placement, LowerWorkLeavesMachinesEmptyForGangsThatComeOften) {
+    // Each machine that a gang left was filled by small tasks and cleared for the next gang seconds later.
+    World w;
+    auto partly = w.machine("m0");
+    for (auto* name : {"m1", "m2", "m3"}) w.machine(name);
+    w.running(w.spec("req-9", JobKind::Array, 1, 4), {partly});
+    auto gang = w.spec("req-8", JobKind::Gang, 1, 7, 0, Priority::High);
+    std::vector<Spare> spare{{&gang, 2, 2}};
+    w.job(w.spec("req-1", JobKind::Array, 20, 4, 0, Priority::Low));
+    auto placed = place_waiting(w.tables, any_machine, w.now, 100, spare);
+    EXPECT_EQ(placed.size(), 3u);  // one beside the other, two on the one empty machine that is not kept
+    auto first = w.job(w.spec("req-2", JobKind::Gang, 2, 7, 0, Priority::High));
+    place_waiting(w.tables, any_machine, w.now, 100, spare);
+    EXPECT_EQ(w.tables.jobs[first]->placed, 2u);
+}
+
+TEST(Sizing, WhatCanBeClearedSoonEnoughIsNotKeptIdle) {
+    struct Row {
+        const char* why;
+        Priority victim;
+        double checkpoint_s, clear_s;
+        int64_t at_once, tasks;
+    };
+    // Six gangs of two in two minutes: 0.1 tasks a second. A boot takes 33 s.
+    const Row rows[] = {
+        {"lower work that saves", Priority::Low, 10, 10, 2, 3},
+        {"lower work that does not save", Priority::Low, 0, 10, 2, 6},
+        {"equal work", Priority::High, 10, 10, 2, 6},
+        {"clearing takes too long", Priority::Low, 10, 60, 0, 6},
+    };
+    for (auto& row : rows) {
+        World w;
+        w.tables.classes.resize(w.tables.names.classes.intern("class") + 1);
+        w.tables.classes.back().start_within_s = 25;
+        auto other = w.spec("req-9", JobKind::Array, 3, 8, 0, row.victim);
+        other.job_class = w.tables.names.classes.intern("other");
+        other.checkpoint_s = row.checkpoint_s;
+        w.running(other, {w.machine("m0"), w.machine("m1"), w.machine("m2")});
+        for (int i = 0; i < 6; ++i)
+            w.job(w.spec("req-" + std::to_string(i), JobKind::Gang, 2, 7, 0, Priority::High));
+        SizingSettings settings;
+        settings.report_s = 2;
+        settings.clear_s = row.clear_s;
+        auto all = spares(w.tables, settings, w.now);
+        ASSERT_EQ(all.size(), 1u) << row.why;
+        EXPECT_EQ(all[0].at_once, row.at_once) << row.why;
+        EXPECT_EQ(all[0].tasks, row.tasks) << row.why;
+    }
+}
+
+TEST(Tables, AGuaranteeWithoutAFigureForCpusCoversThoseBesideGpus) {
+    struct Row {
+        const char* why;
+        TeamSettings team;
+        double cpus, gpus;  // each of two tasks
+        bool guaranteed, owed, over;
+    };
+    const Row rows[] = {
+        {"both figures, within", {"t", 16, 0, 4, 0}, 4, 1, true, true, false},
+        {"both, CPUs beyond", {"t", 6, 0, 4, 0}, 4, 1, false, false, true},
+        {"GPUs alone", {"t", 0, 0, 4, 0}, 4, 1, true, true, false},
+        {"GPUs alone, beyond", {"t", 0, 0, 1, 0}, 4, 1, false, false, true},
+        {"GPUs alone, a job without", {"t", 0, 0, 4, 0}, 4, 0, false, false, true},
+        {"CPUs alone, a job with GPUs", {"t", 16, 0, 0, 0}, 4, 1, false, false, true},
+        {"no figure", {"t", 0, 0, 0, 0}, 4, 1, false, false, true},
+        {"a limit below the guarantee", {"t", 16, 6, 4, 0}, 4, 1, false, false, true},
+    };
+    for (auto& row : rows) {
+        World w;
+        w.settings.teams = {row.team};
+        Tables tables(w.settings);
+        tables.set_types({w.tables.types[0].type, w.tables.types[1].type});
+        std::swap(w.tables, tables);
+        auto spec = w.spec("req-1", JobKind::Array, 2, row.cpus, row.gpus, Priority::Normal, "t");
+        auto j = w.running(spec, {w.machine("m0", "gpu"), w.machine("m1", "gpu")});
+        auto& team = w.tables.teams[0];
+        EXPECT_EQ(w.tables.jobs[j]->guaranteed, row.guaranteed) << row.why;
+        EXPECT_EQ(w.tables.over_guarantee(team, spec.need), row.over) << row.why;
+        team.used -= spec.need;
+        EXPECT_EQ(w.tables.within_guarantee(team, spec.need), row.owed) << row.why;
+    }
+}
+
 TEST(Placement, FitsBestAndSparesGpus) {
     World w;
     auto gpu = w.machine("gpu", "gpu");
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "coordination/overload/forecast.h"
+#include "coordination/overload/in_time.h"
 #include "coordination/placement.h"
 #include "fixtures.h"
 
@@ -115,6 +116,42 @@
     EXPECT_FALSE(waits(100));
 }
 
+TEST(Overload, AsManyJobsAsCanBeAreInTime) {
+    struct Row {
+        const char* why;
+        std::vector<Contender> jobs;  // job, work, must start within
+        double units, before;
+        std::vector<Index> given_up;
+    };
+    const Row rows[] = {
+        {"nothing waits", {}, 10, 0, {}},
+        {"all can", {{1, 50, 10}, {2, 40, 10}}, 10, 0, {}},
+        {"the one with the most work goes, although it is due first", {{1, 90, 10}, {2, 40, 11}, {3, 40, 12}}, 10, 0, {1}},
+        {"one that is too large by itself", {{1, 500, 20}, {2, 100, 30}}, 10, 0, {1}},
+        {"after other work", {{1, 50, 10}, {2, 40, 10}}, 10, 30, {1}},
+        {"other work alone is too much", {{1, 50, 10}, {2, 40, 10}}, 10, 200, {1, 2}},
+        {"no machine yet", {{1, 50, 1}}, 0, 0, {}},
+    };
+    for (auto& row : rows) EXPECT_EQ(given_up(row.jobs, row.units, row.before), row.given_up) << row.why;
+}
+
+TEST(Overload, WhereNotAllCanBeInTimeTheLargestWaitsForItsNextTime) {
+    // The one due soonest went first: under twice the load nearly all began, and were passed once they were late.
+    Cluster c(1);  // 8 CPUs; times 30 and 60 s
+    auto large = c.wait(16, 10);
+    auto small = c.wait(8, 10), other = c.wait(8, 10);
+    c.look();
+    EXPECT_EQ(c.tables.jobs[large]->given_up, 1u);
+    EXPECT_EQ(c.tables.jobs[small]->given_up + c.tables.jobs[other]->given_up, 0u);
+    EXPECT_EQ(waiting_jobs(c.tables, c.now), (std::vector<Index>{small, other, large}));
+    int missed;
+    EXPECT_DOUBLE_EQ(c.tables.due(*c.tables.jobs[large], c.now, missed), c.now + 60);
+    EXPECT_EQ(missed, 1);
+    for (int i = 0; i < 3; ++i) c.machine("more-" + std::to_string(i));
+    c.look();
+    EXPECT_EQ(c.tables.jobs[large]->given_up, 0u);
+}
+
 TEST(Overload, WhatAQueueHadInUseIsRememberedForAWhile) {
     Cluster c(1);  // 8 CPUs
     auto j = c.wait(8, 30);
