Machines that do not hear, late copies of reports, controllers and machines back at once, and a bound on the wait to begin

A deaf machine was heard, so it got tasks at each of its sessions, gangs waited for it and it was never given back; a copy of a report was answered with 200 and counted as an answer, so that a lease was never counted to its end; a machine back under its name with counts from the start was taken for copies for ever; a controller back within its lease waited for that lease; large jobs that others pass by had no bound. Change: src/coordination/hearing tells deafness from what reports show; copies get 503 and change nothing; after a lease three reports in order bring a machine back; a controller ends its former life's leadership in one conditional transaction; src/coordination/begin puts late jobs before their equals and gathers machines for one wide gang at a time. Two states of one task in a report are refused, missing team figures are none.

--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -320,6 +320,7 @@
     task.placed_at = static_cast<float>(now);
     task.running_at = 0;
     task.stopping = task.graceful = false;
+    task.ours = true;
     touch(index, t);
 }
 
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "bookkeeping/dependencies.h"
+#include "coordination/hearing/hearing.h"
 #include "protocol/types.h"
 #include "settings/settings.h"
 
@@ -27,6 +28,7 @@
     TaskPhase phase = TaskPhase::Unseen;
     bool stopping = false;
     bool graceful = false;  // stopping: with time to save
+    bool ours = false;      // placed by this leader: no other has launched this attempt
     bool placed_as(Index on, uint64_t as_attempt) const {
         return state == TaskState::Placed && machine == on && attempt == as_attempt;
     }
@@ -98,6 +100,7 @@
     bool up = false;  // has reported to this leader
     uint64_t session = 0, seq = 0;
     bool saw_token = false;
+    Hearing hearing;
     double last_report = 0, last_answer = 0;
     double direct_at = 0;    // the last report that came to this controller itself
     std::string relayed_by;  // the controller that passed on the last report; empty: it came by itself
--- /dev/null
+++ b/src/coordination/begin/begin.cpp
@@ -0,0 +1,43 @@
+#include "coordination/begin/begin.h"
+
+#include <algorithm>
+#include <map>
+
+namespace weirmill {
+
+std::vector<Index> late_to_begin(const Tables& tables, double within_s, double now) {
+    std::vector<Index> out;
+    if (within_s <= 0) return out;
+    for (Index j = 0; j < tables.jobs.size(); ++j) {
+        auto* job = tables.jobs[j].get();
+        if (!job || !job->active() || job->waits || job->placed + job->done > 0 || job->not_before > now) continue;
+        if (now - job->came_at() > within_s / 2) out.push_back(j);
+    }
+    std::sort(out.begin(), out.end(), [&](Index a, Index b) {
+        auto &x = *tables.jobs[a], &y = *tables.jobs[b];
+        return std::make_pair(x.came_at(), a) < std::make_pair(y.came_at(), b);
+    });
+    return out;
+}
+
+std::vector<Index> gather_machines(const Tables& tables, const Usable& usable, Index j, double now) {
+    auto& job = *tables.jobs[j];
+    auto& need = job.spec.need;
+    if (!tables.within_limit(tables.teams[job.spec.team], need * job.pending)) return {};
+    std::map<Index, std::vector<Index>> by_zone;  // of a gang that may lie anywhere, all in one
+    ZoneRule rule(tables, job);
+    for (Index i = 0; i < tables.machines.size(); ++i) {
+        auto* m = tables.machines[i].get();
+        if (!m || !m->tasks.empty() || !usable(*m) || !tables.machine_allowed(job.spec, *m)) continue;
+        if (tables.spares_gpus(job.spec, m->type) || need.times_in(m->size) != 1 || !rule.allows(m->zone)) continue;
+        if (m->reserved(now) && m->reserved_for != j) continue;
+        by_zone[job.spec.one_zone ? m->zone : 0].push_back(i);
+    }
+    std::vector<Index> best;
+    for (auto& [zone, list] : by_zone)
+        if (list.size() > best.size()) best = std::move(list);
+    if (best.size() > job.pending) best.resize(job.pending);
+    return best;
+}
+
+}  // namespace weirmill
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -49,6 +49,10 @@
             continue;
         }
         pause = 0;
+        // The key names this controller, which does not lead: a life of it before this one did, or a campaign that it
+        // had given up was executed late. Nobody else can lead before that lease is over, and nobody does.
+        if (!tenure_ && unsure_lease_ == 0 && leader_ == settings_.name && !co_await drop_own_leadership())
+            pause = jitter(0.1, 0.3);
         if (!tenure_ && leader_.empty()) {
             co_await campaign();
             pause = unsure_lease_ ? 0 : jitter(0.05, 0.25);
@@ -61,7 +65,7 @@
             auto tenure = std::exchange(tenure_, nullptr);
             if (tenure->yields) co_await give_up_leadership(tenure->token, *tenure->yields);
             pause = jitter(0.2, 0.6);
-        } else if (!leader_.empty()) {
+        } else if (!leader_.empty() && leader_ != settings_.name) {
             auto watched = co_await state_.watch(kLeaderKey, revision_, 10);
             if (watched)
                 revision_ = std::max(revision_, watched.value.revision);
@@ -71,6 +75,19 @@
     }
 }
 
+// Of a process that was back within its lease, users and workers once waited until that was over. The transaction is
+// conditional on the key's version, so that it can end no other tenure.
+asio::awaitable<bool> Election::drop_own_leadership() {
+    StateTxn txn;
+    txn.conditions.push_back({kLeaderKey, token_});
+    txn.changes.push_back({kLeaderKey, "", 0});
+    auto dropped = co_await state_.txn(std::move(txn), kCall_s);
+    if (!dropped) co_return false;
+    spdlog::info("election: ends token={} of an earlier life", token_);
+    learn("", 0);
+    co_return true;
+}
+
 // Reads who leads. False: not known now.
 asio::awaitable<bool> Election::observe() {
     double started = steady_now();
--- a/src/coordination/election.h
+++ b/src/coordination/election.h
@@ -85,6 +85,7 @@
   private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<bool> observe();
+    boost::asio::awaitable<bool> drop_own_leadership();
     boost::asio::awaitable<void> campaign();
     boost::asio::awaitable<void> hold();
     boost::asio::awaitable<void> give_up_leadership(uint64_t token, HandOvers to);
--- /dev/null
+++ b/src/coordination/hearing/hearing.cpp
@@ -0,0 +1,83 @@
+#include "coordination/hearing/hearing.h"
+
+#include <algorithm>
+
+namespace weirmill {
+
+namespace {
+constexpr uint32_t kMissed = 2;  // one answer may be lost, or come too late
+constexpr uint32_t kSteady = 2;
+constexpr uint32_t kBacks = 3;
+constexpr double kPace = 0.4;     // of the time between reports, at least
+constexpr uint64_t kTicks = 20;   // between two reports in a row: /commands and /status count as well
+constexpr double kMargin = 0.02;  // of a lease: drift, and reports that come late
+constexpr double kMargin_s = 0.5;
+
+// Unanswered, it would have gone to every other controller before it came back to this one.
+bool stays(const Hearing& h, const Heard& r, const Settings& s, double now) {
+    double around = static_cast<double>(s.peers.size() + 1) * (s.worker_patience_s + s.worker_next_s);
+    return !s.peers.empty() && r.direct && h.direct_at > 0 && now - h.direct_at < around - kMargin_s;
+}
+
+}  // namespace
+
+Evidence judge(const Hearing& h, const Heard& r, const Settings& s, double now) {
+    if (r.start_taken || (h.told_token && r.our_token)) return Evidence::Hears;
+    bool newer_session = r.order.session > h.answered.session;
+    if (h.answered_at > 0 && newer_session) {
+        // Had it taken that answer, its lease would still stand: it was sent no earlier than its patience
+        // before.
+        double stands = h.answered_at - s.worker_patience_s + s.lease_s * (1 - kMargin) - kMargin_s;
+        return now < stands ? Evidence::Deaf : Evidence::Nothing;
+    }
+    bool follows = h.answered_at > 0 && r.order > h.answered;
+    if (follows && (r.start_missing || (h.told_token && !r.our_token))) return Evidence::Missed;
+    // A session does not outlive its lease unanswered.
+    double most = s.lease_s * (1 + kMargin) + s.worker_patience_s + kMargin_s;
+    if (r.order.session == h.session && h.session_since > 0 && now - h.session_since > most)
+        return Evidence::Hears;
+    return stays(h, r, s, now) && h.steady + 1 >= kSteady ? Evidence::Hears : Evidence::Nothing;
+}
+
+bool take_evidence(Hearing& h, const Heard& r, const Settings& s, double now) {
+    auto evidence = judge(h, r, s, now);
+    h.steady = stays(h, r, s, now) ? h.steady + 1 : 0;
+    h.direct_at = r.direct ? now : 0;
+    if (r.order.session != h.session) h.session = r.order.session, h.session_since = now;
+    if (evidence == Evidence::Hears) h.missed = 0, h.deaf_since = 0;
+    if (evidence == Evidence::Missed) ++h.missed;
+    if (evidence == Evidence::Deaf) h.missed += kMissed;
+    if (h.missed < kMissed || h.deaf()) return false;
+    h.deaf_since = now;
+    return true;
+}
+
+void note_answer(Hearing& h, const ReportOrder& report, bool our_token, double now) {
+    h.answered = report;
+    h.answered_at = now;
+    h.told_token = !our_token;
+}
+
+bool is_back(Hearing& h, const ReportOrder& report, const Settings& s, double now) {
+    if (report > h.former) return true;
+    double gap = now - h.back_at;
+    bool near = report.session - h.back.session <= 1 && report.seq - h.back.seq <= kTicks;
+    bool next = h.backs > 0 && report > h.back && near && gap > kPace * s.report_s && gap < s.lease_s;
+    h.backs = next ? h.backs + 1 : 1;
+    h.back = report;
+    h.back_at = now;
+    return h.backs >= kBacks;
+}
+
+void forget_worker(Hearing& h, const ReportOrder& last) {
+    auto former = std::max(h.former, last);
+    h = {};
+    h.former = former;
+}
+
+bool give_back_deaf(const Hearing& h, double replacement_s, size_t deaf, size_t up, const Settings& s,
+                    double now) {
+    return h.deaf() && 2 * deaf <= up && now - h.deaf_since > s.lease_s + replacement_s;
+}
+
+}  // namespace weirmill
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 
 #include "coordination/account.h"
+#include "coordination/begin/begin.h"
 #include "protocol/cloud_codec.h"
 #include "protocol/worker_codec.h"
 
@@ -19,6 +20,7 @@
 const std::string kOldJobs = "j/";
 constexpr double kAsk_s = 2.0;
 constexpr double kSettle_s = 0.6;
+constexpr double kGather_s = 5;  // renewed with each pass
 constexpr size_t kMostPlaced = 4096;  // in one pass
 constexpr double kAccount_s = 5;      // between lines about where the room is
 
@@ -71,8 +73,11 @@
 }
 
 void Leader::gauges(std::map<std::string, double>& out) const {
-    size_t up = 0, placed = 0, pending = 0;
-    for (auto& m : tables_.machines) up += m && m->up;
+    size_t up = 0, deaf = 0, placed = 0, pending = 0;
+    for (auto& m : tables_.machines) {
+        up += m && m->up;
+        deaf += m && m->up && m->hearing.deaf();
+    }
     for (auto& job : tables_.jobs) {
         if (!job) continue;
         placed += job->placed;
@@ -82,6 +87,7 @@
     out["jobs"] = static_cast<double>(tables_.job_index.size());
     out["machines"] = static_cast<double>(tables_.machine_index.size());
     out["machines_up"] = static_cast<double>(up);
+    out["machines_deaf"] = static_cast<double>(deaf);
     out["tasks_placed"] = static_cast<double>(placed);
     out["tasks_pending"] = static_cast<double>(pending);
     out["queues_pressed"] = static_cast<double>(forecast_.pressed());
@@ -267,7 +273,18 @@
     if (!decides()) return;
     dirty_ = false;
     ++passes_;
-    place_waiting(tables_, usable_now(), now_, kMostPlaced, spares(tables_, sizing(), now_));
+    std::vector<Index> late;
+    if (properties_.overload_enabled) late = late_to_begin(tables_, properties_.begin_within_s, now_);
+    place_waiting(tables_, usable_now(), now_, kMostPlaced, spares(tables_, sizing(), now_), late);
+    // For one gang at a time, the one that waits the longest.
+    auto gang = std::find_if(late.begin(), late.end(), [&](Index j) {
+        return tables_.jobs[j]->spec.kind == JobKind::Gang && tables_.jobs[j]->placed == 0;
+    });
+    if (gang == late.end()) return;
+    for (auto i : gather_machines(tables_, usable_now(), *gang, now_)) {
+        tables_.machines[i]->reserved_for = *gang;
+        tables_.machines[i]->reserved_until = now_ + kGather_s;
+    }
 }
 
 void Leader::preempt() {
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -266,7 +266,7 @@
 
     bool dirty_ = true;  // something changed that scheduling should look at
     double next_schedule_ = 0, next_round_ = 0, next_check_ = 0, next_sizing_ = 0, next_closing_ = 0,
-           next_account_ = 0;
+           next_account_ = 0, next_warning_ = 0;
     uint64_t rounds_ = 0, passes_ = 0;
     std::string recorded_types_, recorded_shape_;
     bool renting_ = false, returning_ = false, listed_once_ = false;
--- a/src/coordination/leader_fleet.cpp
+++ b/src/coordination/leader_fleet.cpp
@@ -46,6 +46,11 @@
 void Leader::check_machines() {
     if (past_grace()) deaf_at_ = now_;
     auto cut = silent_zones(tables_, usable_now());
+    size_t deaf = 0, up = 0;
+    for (auto& m : tables_.machines) {
+        up += m && m->up;
+        deaf += m && m->up && m->hearing.deaf();
+    }
     for (Index i = 0; i < tables_.machines.size(); ++i) {
         auto* m = tables_.machines[i].get();
         if (!m) continue;
@@ -55,8 +60,16 @@
             machine_gone(i, "its lease ran out");
             m->up = false;
             m->saw_token = false;
+            // Should it come back under its name with counts that begin anew, they are not taken for copies.
+            forget_worker(m->hearing, {m->session, m->seq});
+            m->session = m->seq = 0;
             continue;
         }
+        if (m->up && !m->doomed &&
+            give_back_deaf(m->hearing, replacement_s(*m, false), deaf, up, settings_, now_)) {
+            spdlog::info("machine: {} did not hear its answers for too long, returned", m->name);
+            m->doomed = true;
+        }
         // Not heard of for so long that it is given back. A replacement has to boot and to fetch its images
         // again: for as long as that takes, the machine may just as well come back. A cut of 20 s once cost a
         // whole zone's machines. After an outage in which this leader itself fell silent, all will report
--- a/src/coordination/leader_workers.cpp
+++ b/src/coordination/leader_workers.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio.hpp>
 
 #include "coordination/gangs/gather.h"
+#include "coordination/hearing/hearing.h"
 #include "coordination/leader.h"
 #include "protocol/worker_codec.h"
 
@@ -14,13 +15,14 @@
 namespace {
 
 constexpr size_t kMaxStrays = 2000;
-constexpr double kHold_s = 0.6;  // a report waits this long for records at most
+constexpr double kWarning_s = 10;  // between lines about reports that make no sense
+constexpr double kHold_s = 0.6;    // a report waits this long for records at most
 
 }  // namespace
 
 bool Leader::usable(const Machine& m) const {
     return m.up && !m.returning && !m.doomed && !m.closing && m.notice_until < 0 &&
-           m.quarantined_until <= now_ && now_ - m.last_report < silence_s() &&
+           m.quarantined_until <= now_ && now_ - m.last_report < silence_s() && !m.hearing.deaf() &&
            m.type < tables_.types.size() && tables_.types[m.type].offered;
 }
 
@@ -30,27 +32,37 @@
     try {
         r = parse_report(call.body);
     } catch (const BadMessage& e) {
-        spdlog::error("worker: malformed report from {} refused: {}", call.subject, e.what());
+        metrics_.count("malformed_reports_total");
+        if (now_ >= next_warning_) {
+            next_warning_ = now_ + kWarning_s;
+            spdlog::error("worker: malformed report from {} refused: {}", call.subject, e.what());
+        }
         return reply.set({400, "{}"});
     }
     if (gone_.count(r.machine)) return reply.set({503, "{}"});
+    if (r.token > tenure_->token) {
+        metrics_.count("reports_of_later_tokens_total");
+        if (now_ >= next_warning_) {
+            next_warning_ = now_ + kWarning_s;
+            spdlog::info("worker: {} has seen token={}, later than ours", r.machine, r.token);
+        }
+        return reply.set({503, "{}"});
+    }
     auto index = tables_.add_machine(r.machine, now_);
     auto& m = *tables_.machines[index];
+    if (std::pair(r.session, r.seq) <= std::pair(m.session, m.seq)) {
+        // A copy, or late: what it says is old, its worker has given up on the answer, and a machine is not
+        // there for it. Taken for answered, copies once kept a lease from being counted to its end.
+        metrics_.count("report_copies_total");
+        return reply.set({503, "{}"});
+    }
+    if (!m.up && !is_back(m.hearing, {r.session, r.seq}, settings_, now_))
+        return reply.set({200, report_answer(tenure_->token, {}), 0, tenure_->token});
     m.addr = r.addr;
     m.relayed_by = call.sender;
     if (call.sender.empty()) m.direct_at = now_;
     if (m.type == kNone || m.size == Resources{}) tables_.describe_machine(m, r.type, r.zone, r.spot);
-    if (r.token > tenure_->token) {
-        spdlog::info("worker: {} has seen token={}, later than ours", r.machine, r.token);
-        return reply.set({503, "{}"});
-    }
-    bool newer = std::pair(r.session, r.seq) > std::pair(m.session, m.seq);
     Held held{reply, r.seq, now_ + kHold_s, 0};
-    if (!newer) {
-        // Late or repeated: what it says is old, and its worker has given up on the answer.
-        m.last_answer = now_;
-        return reply.set({200, report_answer(tenure_->token, {})});
-    }
     size_t before = m.tasks.size();
     take_report(m, index, r);
     // What came free is offered to a scheduling pass before the answer goes: without it, the next task's
@@ -100,10 +112,19 @@
     }
     m.strays.clear();
     std::set<std::pair<std::string_view, uint32_t>> present;
-    for (auto& t : r.tasks) {
-        present.emplace(t.job, t.task);
-        take_task(m, index, t);
+    for (auto& t : r.tasks) present.emplace(t.job, t.task);
+    Heard heard{{r.session, r.seq}, m.saw_token, m.relayed_by.empty()};
+    for (auto& ref : m.tasks) {
+        auto& job = *tables_.jobs[ref.job];
+        auto& task = job.tasks[ref.task];
+        if (task.phase != TaskPhase::Unseen || task.start_seq == 0 || task.start_seq >= r.seq) continue;
+        (present.count({job.spec.id, ref.task}) ? heard.start_taken : heard.start_missing) = true;
+    }
+    if (take_evidence(m.hearing, heard, settings_, now_)) {
+        metrics_.count("machines_deaf_total");
+        spdlog::info("machine: {} does not hear its answers", m.name);
     }
+    for (auto& t : r.tasks) take_task(m, index, t);
     auto tasks = m.tasks;
     for (auto& ref : tasks) {
         auto& job = *tables_.jobs[ref.job];
@@ -112,9 +133,12 @@
         if (present.count({job.spec.id, ref.task})) continue;
         // Not there. That is proof only if the worker has seen our token, as an earlier leader's start
         // could else still arrive, and if this report was sent after our own start was answered.
-        bool proof = m.saw_token && (task.start_seq == 0 || task.start_seq < r.seq);
+        // Of an attempt that this leader placed there is no earlier start.
+        bool proof = (m.saw_token || task.ours) && (task.start_seq == 0 || task.start_seq < r.seq);
         if (!proof) continue;
-        if (task.phase != TaskPhase::Unseen || task.stopping) lose_task(ref.job, ref.task);
+        // One that was not taken is launched again, unless the machine does not hear that either.
+        if (task.phase != TaskPhase::Unseen || task.stopping || m.hearing.deaf())
+            lose_task(ref.job, ref.task);
     }
     if (r.notice_s >= 0) drain(index, r.notice_s);
 }
@@ -219,6 +243,7 @@
         }
     }
     m.last_answer = now_;
+    note_answer(m.hearing, {m.session, held.seq}, m.saw_token, now_);
     held.reply.set({200, report_answer(tenure_->token, commands), 0, tenure_->token});
 }
 
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -346,7 +346,7 @@
 }  // namespace
 
 std::vector<Placement> place_waiting(Tables& tables, const Usable& usable, double now, size_t most,
-                                     const std::vector<Spare>& spare) {
+                                     const std::vector<Spare>& spare, const std::vector<Index>& first) {
     std::vector<Placement> out;
     auto ranks = waiting_ranks(tables, now);
     Pass pass(tables, usable, ranks, now, spare);
@@ -362,8 +362,23 @@
         auto& [above, share] = held[job.spec.team];
         return job.priority < above ? share : Resources{};
     };
+    auto before_equals = first;
+    auto command = [&](Index j) {
+        auto& job = *tables.jobs[j];
+        return std::make_pair(!job.guaranteed, -static_cast<int>(job.priority));
+    };
     for (auto& rank : ranks) {
         if (out.size() >= most) break;
+        auto commands = command(rank.front());
+        std::erase_if(before_equals, [&](Index j) {
+            if (command(j) > commands) return false;
+            auto& job = *tables.jobs[j];
+            if (job.spec.kind == JobKind::Gang)
+                place_gang(tables, pass, j, kept(job), now, out);
+            else
+                place_tasks(tables, pass, j, kept(job), false, now, std::min(most, out.size() + 1), out);
+            return true;
+        });
         // Among equals, a machine goes first to a job whose image it has: where jobs wait, a machine would
         // else fetch an image for most of its tasks.
         if (rank.size() > 1)
--- a/src/protocol/worker_codec.cpp
+++ b/src/protocol/worker_codec.cpp
@@ -1,6 +1,7 @@
 #include "protocol/worker_codec.h"
 
 #include <charconv>
+#include <set>
 
 namespace weirmill {
 
@@ -78,6 +79,10 @@
         task.saved = read::flag(t, "kept", false);
         r.tasks.push_back(std::move(task));
     }
+    // Two states of one task: neither is believed.
+    std::set<std::pair<std::string_view, uint32_t>> seen;
+    for (auto& t : r.tasks)
+        if (!seen.emplace(t.job, t.task).second) read::bad("lots");
     return r;
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -90,10 +90,14 @@
     each_table(d["teams"], "deployment.teams", [&](auto node, const std::string& at) {
         TeamSettings t;
         t.name = need_string(node["name"], at + ".name");
-        t.cpus = need_number(node["cpus"], at + ".cpus", 0);
-        t.cpus_max = need_number(node["cpus_max"], at + ".cpus_max", 0);
-        t.gpus = need_number(node["gpus"], at + ".gpus", 0);
-        t.gpus_max = need_number(node["gpus_max"], at + ".gpus_max", 0);
+        // A figure that is missing is none, as 0 is.
+        auto figure = [&](const char* name) {
+            return node[name] ? need_number(node[name], at + "." + name, 0) : 0.0;
+        };
+        t.cpus = figure("cpus");
+        t.cpus_max = figure("cpus_max");
+        t.gpus = figure("gpus");
+        t.gpus_max = figure("gpus_max");
         if (!teams.insert(t.name).second) throw SettingsError("settings: " + at + ".name is repeated");
         s.teams.push_back(std::move(t));
     });
@@ -156,6 +160,7 @@
         {"fleet.idle_keep_boots", &p.idle_keep_boots, 0.0, 100.0},
         {"scheduling.pause_s", &p.scheduling_pause_s, 0.01, 10.0},
         {"machines.quarantine_s", &p.quarantine_s, 0.0, 86400.0},
+        {"overload.begin_within_s", &p.begin_within_s, 0.0, 86400.0},
     };
     Poco::AutoPtr<Poco::Util::PropertyFileConfiguration> file;
     try {
--- /dev/null
+++ b/tests/begin_test.cpp
@@ -0,0 +1,84 @@
+// The bound on the wait until a job begins.
+#include "coordination/begin/begin.h"
+
+#include <gtest/gtest.h>
+
+#include "fixtures.h"
+
+namespace weirmill {
+namespace {
+
+using test::any_machine;
+using test::World;
+
+TEST(Begin, WhoIsLateToBegin) {
+    World w;
+    auto m = w.machine("m0");
+    auto old = w.job(w.spec("req-1", JobKind::Array, 3, 1));
+    auto older = w.job(w.spec("req-2", JobKind::Gang, 2, 1));
+    auto begun = w.running(w.spec("req-3", JobKind::Array, 2, 1), {m});
+    auto waits = w.job(w.spec("req-4", JobKind::Array, 1, 1));
+    auto cancelled = w.job(w.spec("req-5", JobKind::Array, 1, 1));
+    auto fresh = w.job(w.spec("req-6", JobKind::Array, 1, 1));
+    for (auto j : {old, older, begun, waits, cancelled, fresh}) w.tables.jobs[j]->seen_at = w.now - 121;
+    w.tables.jobs[older]->seen_at = w.now - 200;
+    w.tables.jobs[fresh]->seen_at = w.now - 119;
+    w.tables.jobs[waits]->waits = true;
+    w.tables.jobs[cancelled]->cancelled = true;
+    EXPECT_EQ(late_to_begin(w.tables, 240, w.now), (std::vector<Index>{older, old}));
+    EXPECT_TRUE(late_to_begin(w.tables, 0, w.now).empty());
+}
+
+TEST(Begin, ALateJobGoesBeforeItsEqualsAndNoFurther) {
+    struct Row {
+        const char* why;
+        Priority late;
+        JobKind kind;
+        uint32_t tasks;
+        uint32_t placed;  // of the late job; of 8 places, all of which the other would take
+    };
+    const Row rows[] = {
+        {"an array begins with one task", Priority::Normal, JobKind::Array, 5, 1},
+        {"a gang whole", Priority::Normal, JobKind::Gang, 5, 5},
+        {"not before a higher priority", Priority::Low, JobKind::Array, 5, 0},
+    };
+    for (auto& row : rows) {
+        World w;
+        w.machine("m0");
+        auto other = w.job(w.spec("req-1", JobKind::Array, 8, 1));
+        auto late = w.job(w.spec("req-2", row.kind, row.tasks, 1, 0, row.late));
+        w.tables.jobs[late]->submitted = 2000;  // behind by the order among equals
+        place_waiting(w.tables, any_machine, w.now, 4096, {}, {late});
+        EXPECT_EQ(w.tables.jobs[late]->placed, row.placed) << row.why;
+        EXPECT_EQ(w.tables.jobs[other]->placed, 8 - row.placed) << row.why;
+    }
+}
+
+TEST(Begin, MachinesAreGatheredForAGangThatSmallerOnesPassBy) {
+    // Each machine that came free went to a gang of one, and the wide one never saw three together.
+    World w;
+    std::vector<Index> on;
+    for (auto* name : {"a0", "a1", "b0", "b1", "b2"})
+        on.push_back(w.machine(name, "std", std::string(1, name[0])));
+    auto spec = w.spec("req-1", JobKind::Gang, 3, 7, 0, Priority::High);
+    spec.one_zone = true;
+    auto wide = w.job(spec);
+    w.running(w.spec("req-9", JobKind::Gang, 1, 7, 0, Priority::High), {on[4]});
+    EXPECT_EQ(gather_machines(w.tables, any_machine, wide, w.now), (std::vector<Index>{on[0], on[1]}));
+    w.running(w.spec("req-8", JobKind::Gang, 1, 7, 0, Priority::High), {on[0]});
+    auto kept = gather_machines(w.tables, any_machine, wide, w.now);
+    EXPECT_EQ(kept, (std::vector<Index>{on[2], on[3]}));
+    for (auto i : kept) {
+        w.tables.machines[i]->reserved_for = wide;
+        w.tables.machines[i]->reserved_until = w.now + 5;
+    }
+    auto small = w.job(w.spec("req-2", JobKind::Gang, 2, 7, 0, Priority::High));
+    place_waiting(w.tables, any_machine, w.now);
+    EXPECT_EQ(w.tables.jobs[small]->placed, 0u);
+    w.tables.finish(w.tables.machines[on[4]]->tasks[0].job, 0, w.now);
+    place_waiting(w.tables, any_machine, w.now, 4096, {}, {wide});
+    EXPECT_EQ(w.tables.jobs[wide]->placed, 3u);
+}
+
+}  // namespace
+}  // namespace weirmill
--- /dev/null
+++ b/tests/hearing_test.cpp
@@ -0,0 +1,290 @@
+// Machines that do not hear their answers, late copies of reports, and workers that begin anew: what reports
+// show, and the whole service over loopback with such machines. docs/failures.md.
+#include "coordination/hearing/hearing.h"
+
+#include <random>
+
+#include "service.h"
+
+namespace weirmill {
+namespace {
+
+namespace json = boost::json;
+using test::Service;
+
+// Report interval 2 s, lease 18 s, a worker's patience 4 s and 1 s more to the next of two controllers.
+struct Ear {
+    Settings settings = test::small_settings();
+    Hearing hearing;
+    double now = 100;
+    Ear() { settings.peers.push_back({"node-1", "a", {"127.0.0.1", 1}}); }
+    // A report, `after` seconds, which is answered.
+    bool report(double after, uint64_t session, uint64_t seq, Heard what = {}) {
+        now += after;
+        what.order = {session, seq};
+        bool deaf = take_evidence(hearing, what, settings, now);
+        note_answer(hearing, what.order, what.our_token, now);
+        return deaf;
+    }
+};
+Heard with(bool our_token, bool direct, bool taken = false, bool missing = false) {
+    return {{}, our_token, direct, taken, missing};
+}
+
+TEST(Hearing, IsToldByWhatReportsShow) {
+    struct Step {
+        double after;
+        uint64_t session, seq;
+        Heard what;
+    };
+    struct Row {
+        const char* why;
+        std::vector<Step> steps;
+        bool deaf;
+    };
+    auto old = with(false, false), ours = with(true, false), missing = with(true, false, false, true),
+         taken = with(true, false, true), here = with(true, true);
+    const Row rows[] = {
+        {"nothing to be seen", {{0, 1, 1, ours}, {10, 1, 2, ours}, {10, 1, 3, ours}}, false},
+        {"one answer lost", {{0, 1, 1, ours}, {10, 1, 2, missing}, {10, 1, 3, taken}}, false},
+        {"two launches not taken up", {{0, 1, 1, ours}, {10, 1, 2, missing}, {10, 1, 3, missing}}, true},
+        {"a launch missed, one taken, one missed",
+         {{0, 1, 1, ours}, {10, 1, 2, missing}, {10, 1, 3, taken}, {10, 1, 4, missing}},
+         false},
+        {"the token stays behind", {{0, 1, 1, old}, {10, 1, 2, old}, {10, 1, 3, old}}, true},
+        {"the token comes with the second answer",
+         {{0, 1, 1, old}, {10, 1, 2, old}, {10, 1, 3, ours}},
+         false},
+        {"its lease runs out although it was answered",
+         {{0, 1, 1, ours}, {10, 1, 2, ours}, {10, 2, 3, ours}},
+         true},
+        {"it runs out after a long silence", {{0, 1, 1, ours}, {25, 2, 2, ours}}, false},
+        {"deaf, then a launch is taken",
+         {{0, 1, 1, ours}, {10, 1, 2, missing}, {10, 1, 3, missing}, {5, 1, 4, taken}},
+         false},
+        {"deaf, then a session outlives the lease",
+         {{0, 1, 1, ours}, {8, 1, 2, missing}, {8, 1, 3, missing}, {9, 1, 4, ours}},
+         false},
+        {"deaf, then it stays with this controller",
+         {{0, 1, 1, ours},
+          {10, 1, 2, missing},
+          {10, 1, 3, missing},
+          {2, 1, 4, here},
+          {2, 1, 5, here},
+          {2, 1, 6, here}},
+         false},
+        {"deaf, and comes round by the others",
+         {{0, 1, 1, ours},
+          {10, 1, 2, missing},
+          {10, 1, 3, missing},
+          {2, 1, 4, here},
+          {10, 1, 5, here},
+          {10, 2, 6, here}},
+         true},
+    };
+    for (auto& row : rows) {
+        Ear e;
+        for (auto& s : row.steps) e.report(s.after, s.session, s.seq, s.what);
+        EXPECT_EQ(e.hearing.deaf(), row.deaf) << row.why;
+    }
+}
+
+TEST(Hearing, ADeafMachineIsGivenBackUnlessSoManyAreThatItIsOurLink) {
+    Ear e;
+    e.hearing.deaf_since = 100;
+    struct Row {
+        double now;
+        size_t deaf, up;
+        bool back;
+    };
+    // A lease of 18 s, and 30 s for a replacement.
+    for (auto& row :
+         {Row{147, 1, 10, false}, Row{149, 1, 10, true}, Row{149, 5, 10, true}, Row{149, 6, 10, false}})
+        EXPECT_EQ(give_back_deaf(e.hearing, 30, row.deaf, row.up, e.settings, row.now), row.back) << row.deaf;
+    EXPECT_FALSE(give_back_deaf({}, 30, 0, 10, e.settings, 1e6));
+}
+
+TEST(Hearing, AfterItsLeaseOnlyAWorkerThatIsThereBringsAMachineBack) {
+    struct Step {
+        double after;
+        uint64_t session, seq;
+        bool back;
+    };
+    struct Row {
+        const char* why;
+        std::vector<Step> steps;
+    };
+    const Row rows[] = {
+        {"a new session", {{1, 4, 1, true}}},
+        {"a later tick", {{1, 3, 91, true}}},
+        {"one late copy", {{1, 3, 60, false}}},
+        {"copies in no order",
+         {{1, 3, 60, false}, {2, 3, 20, false}, {2, 2, 80, false}, {2, 3, 10, false}, {2, 3, 9, false}}},
+        {"copies in order, all at once",
+         {{1, 3, 60, false}, {0.1, 3, 61, false}, {0.1, 3, 62, false}, {0.1, 3, 63, false}}},
+        {"it counts from the start", {{1, 1, 1, false}, {2, 1, 2, false}, {2, 1, 3, true}}},
+        {"a copy within",
+         {{1, 1, 1, false},
+          {2, 1, 2, false},
+          {1, 3, 50, false},
+          {1, 1, 3, false},
+          {2, 1, 4, false},
+          {2, 1, 5, true}}},
+    };
+    for (auto& row : rows) {
+        Ear e;
+        forget_worker(e.hearing, {3, 90});
+        for (auto& s : row.steps) {
+            e.now += s.after;
+            EXPECT_EQ(is_back(e.hearing, {s.session, s.seq}, e.settings, e.now), s.back)
+                << row.why << " " << s.seq;
+        }
+    }
+}
+
+// Summed over the controllers that are there.
+double figure(Service& s, const std::string& name) {
+    double sum = 0;
+    for (size_t i = 0; i < s.nodes.size(); ++i) {
+        auto page = s.alive[i] ? s.ask_node(i, "GET", "/metrics", "") : std::nullopt;
+        auto at = page ? page->body.find("\nweirmill_" + name + " ") : std::string::npos;
+        if (at != std::string::npos) sum += std::stod(page->body.substr(at + name.size() + 11));
+    }
+    return sum;
+}
+
+// The machine on which a task of the job runs.
+std::shared_ptr<standin::Worker> machine_of(Service& s, const std::string& job) {
+    for (auto& [name, w] : s.cloud->workers)
+        if (!w->dead() && w->runs(job)) return w;
+    return nullptr;
+}
+
+TEST(HearingService, WorkGoesElsewhereFromAMachineThatHearsNothingAndItIsGivenBack) {
+    // It was heard, and so it kept its tasks, got new ones at each of its sessions and was never given back.
+    Service s(1);
+    EXPECT_EQ(s.submit("req-1", "array", 1, {1.0}), 201);
+    ASSERT_TRUE(s.until([&] { return s.cloud->on_some_machine("req-1"); }));
+    auto deaf = machine_of(s, "req-1");
+    deaf->deaf = true;
+    s.cloud->jobs["req-1"].run_s = 3;
+    EXPECT_EQ(s.submit("req-2", "array", 3, {0.2}), 201);
+    EXPECT_TRUE(s.done("req-1"));
+    EXPECT_TRUE(s.done("req-2"));
+    EXPECT_TRUE(s.until([&] { return figure(s, "machines_deaf_total") > 0; }));
+    // A job that fills a machine each: none of its tasks is sent to the deaf one any more.
+    auto body = Service::with(Service::submission("req-3", "array", 4, 8), "expected_s", 1.0);
+    s.cloud->jobs["req-3"] = {0.2, false, 4, false, {}};
+    EXPECT_EQ(s.ask("POST", "/v2/runs", body).status, 201);
+    EXPECT_TRUE(s.done("req-3"));
+    EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
+}
+
+TEST(HearingService, AMachineThatHearsAgainIsUsedAgain) {
+    Service s(1);
+    EXPECT_EQ(s.submit("req-1", "array", 1, {0.2}), 201);
+    EXPECT_TRUE(s.done("req-1"));
+    for (auto& [name, w] : s.cloud->workers) w->deaf = true;
+    EXPECT_EQ(s.submit("req-2", "array", 1, {0.2}), 201);
+    EXPECT_TRUE(s.until([&] { return figure(s, "machines_deaf") > 0; }));
+    for (auto& [name, w] : s.cloud->workers) w->deaf = false;
+    EXPECT_TRUE(s.until([&] { return figure(s, "machines_deaf") == 0; }));
+    EXPECT_TRUE(s.done("req-2"));
+    EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
+}
+
+TEST(HearingService, CopiesOfReportsChangeNothing) {
+    // Of each report five old ones come again, to any controller, while jobs run, the leader ends and
+    // machines go silent: each task starts once on a sound machine, and no lease is kept from running out.
+    Service s(3);
+    EXPECT_EQ(s.submit("req-1", "array", 6, {2.0}), 201);
+    ASSERT_TRUE(s.until([&] { return s.cloud->starts.size() == 6; }));
+    auto copies = [&] {
+        for (auto& [name, w] : s.cloud->workers) w->copies = 5;
+    };
+    copies();
+    EXPECT_EQ(s.submit("req-2", "ensemble", 3, {0.5}), 201);
+    EXPECT_TRUE(s.done("req-2"));
+    copies();
+    s.crash_leader();
+    EXPECT_EQ(s.submit("req-3", "array", 6, {0.2}), 201);
+    EXPECT_TRUE(s.done("req-1"));
+    EXPECT_TRUE(s.done("req-3"));
+    for (auto& [task, n] : s.cloud->starts) EXPECT_EQ(n, 1) << task;
+    EXPECT_GT(figure(s, "report_copies_total"), 0);
+    EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
+}
+
+TEST(HearingService, AMachineThatIsBackAtOnceLosesItsTasksAndIsUsedAgain) {
+    // Its counts begin anew: taken for copies, its reports were answered without an end, and what had been
+    // there was believed to run.
+    Service s(1);
+    EXPECT_EQ(s.submit("req-1", "array", 1, {1.5}), 201);
+    ASSERT_TRUE(s.until([&] { return s.cloud->on_some_machine("req-1"); }));
+    auto w = machine_of(s, "req-1");
+    ASSERT_TRUE(s.until([&] { return s.status("req-1") == "running"; }));
+    w->begin_anew();
+    EXPECT_TRUE(s.done("req-1"));
+    EXPECT_EQ(s.cloud->starts["req-1/0"], 2);
+    EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
+}
+
+// Every interleaving of a small world, drawn: one worker, its reports and copies of them in any order,
+// answers that are lost or come, sessions that end. The leader's rule for a task that a report does not show
+// must never take it for gone while the worker may yet have it from an answer of this leader.
+TEST(Hearing, NoReportProvesGoneWhatAnAnswerMayStillBring) {
+    size_t proofs = 0, copies = 0;
+    for (unsigned seed = 1; seed <= 4000; ++seed) {
+        std::mt19937 random(seed);
+        auto one_in = [&](unsigned n) { return random() % n == 0; };
+        struct Sent {
+            ReportOrder order;
+            bool has_task;
+        };
+        ReportOrder worker{1, 0}, known{};
+        bool has_task = false, placed = true;
+        uint64_t start_seq = 0;
+        std::vector<Sent> network;
+        std::optional<Sent> in_flight;
+        for (int step = 0; step < 40; ++step) {
+            if (one_in(12)) {  // the lease ends
+                ++worker.session;
+                has_task = false;
+                in_flight.reset();
+            }
+            ++worker.seq;
+            Sent report{worker, has_task};
+            network.push_back(report);
+            in_flight = report;
+            // Some arrive now, some late, some more than once.
+            for (int n = random() % 3; n >= 0 && !network.empty(); --n) {
+                auto k = one_in(2) ? network.size() - 1 : random() % network.size();
+                auto got = network[k];
+                if (!one_in(3)) network.erase(network.begin() + static_cast<long>(k));
+                if (got.order <= known) {
+                    ++copies;
+                    continue;
+                }
+                if (got.order.session > known.session && known.session > 0) placed = false, ++proofs;
+                known = got.order;
+                if (placed && !got.has_task && start_seq > 0 && start_seq < got.order.seq && one_in(2)) {
+                    placed = false;
+                    ++proofs;
+                }
+                if (!placed) {
+                    EXPECT_FALSE(has_task) << "seed " << seed << " step " << step;
+                    break;
+                }
+                start_seq = got.order.seq;
+                // The worker takes the answer to the report that it waits for alone.
+                if (in_flight && in_flight->order == got.order && one_in(2)) has_task = true;
+            }
+            if (!placed) break;
+        }
+    }
+    EXPECT_GT(proofs, 1000u);
+    EXPECT_GT(copies, 1000u);
+}
+
+}  // namespace
+}  // namespace weirmill
--- a/tests/service.h
+++ b/tests/service.h
@@ -36,6 +36,7 @@
         double write_rps = 40;
         int txn_ops = 12;
         bool links = false;   // membership, and every link between the processes goes over a cable of its own
+        double lease_s = 1.5;  // of the leadership
         std::set<int> old{};  // controllers whose version says nothing of links
     };
     // What a controller calls, or is called over; see standin/cable.h.
@@ -53,7 +54,7 @@
         base.state_write_rps = with.write_rps;
         base.txn_ops = with.txn_ops;
         properties.doors_enabled = with.doors;
-        properties.election_lease_s = 1.5;
+        properties.election_lease_s = with.lease_s;
         properties.preemption_round_s = 0.5;
         properties.idle_keep_boots = 100;
         state = std::make_unique<standin::State>(io);
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -63,6 +63,39 @@
     EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
 }
 
+TEST(Service, AControllerThatIsBackAtOnceDoesNotWaitForTheLeaseOfItsFormerLife) {
+    // Users and workers used to wait until it was over, which here is longer than a case waits.
+    Service::With with;
+    with.lease_s = 2 * test::kPatience_s;
+    for (int lives : {1, 2}) {
+        Service s(1, with);
+        EXPECT_EQ(s.submit("req-1", "array", 1), 201);
+        EXPECT_TRUE(s.done("req-1"));
+        for (int life = 0; life < lives; ++life) {
+            s.crash(life);
+            s.add_node(0);
+        }
+        EXPECT_EQ(s.submit("req-2", "array", 1), 201) << lives;
+        EXPECT_TRUE(s.done("req-2"));
+        EXPECT_EQ(s.status("req-1"), "done");
+        EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
+    }
+}
+
+TEST(Service, ALateDropOfAFormerLeadershipEndsNoOther) {
+    // The transaction names the version of the leadership that it ends; a copy of it finds another.
+    Service s(2);
+    EXPECT_EQ(s.submit("req-1", "array", 1, {2.0}), 201);
+    auto old = s.leader();
+    s.crash(old.back() - '0');
+    s.state->delay_txns = 1;  // the next is executed late, after its sender gave up
+    s.add_node(old.back() - '0');
+    EXPECT_TRUE(s.done("req-1"));
+    EXPECT_EQ(s.submit("req-2", "array", 2), 201);
+    EXPECT_TRUE(s.done("req-2"));
+    EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
+}
+
 TEST(Service, AFollowerRelaysForAWorkerThatCannotReachTheLeader) {
     Service s(2);
     EXPECT_EQ(s.submit("req-1", "array", 1, {3.0}), 201);
--- a/tests/standin/standins.cpp
+++ b/tests/standin/standins.cpp
@@ -151,8 +151,8 @@
             co_return answer(400, json::object{{"error", "too large"}});
         }
         auto& then = txn.at("then").as_array();
-        if (refuse_drops && std::any_of(then.begin(), then.end(),
-                                        [](auto& c) { return c.as_object().contains("drop"); }))
+        if (refuse_drops &&
+            std::any_of(then.begin(), then.end(), [](auto& c) { return c.as_object().contains("drop"); }))
             co_return answer(503, json::object{});
         value_bytes = std::min(value_bytes, std::exchange(next_value_bytes, value_bytes));
         if (delay_txns > 0) {
@@ -279,7 +279,7 @@
 }
 
 asio::awaitable<HttpReply> Worker::handle(HttpRequest r) {
-    if (dead_ || silent) co_return HttpReply{500, "{}"};
+    if (dead_ || silent || deaf) co_return HttpReply{500, "{}"};
     step();
     auto v = json::parse(r.body).as_object();
     auto token = v.at("gavel").to_number<uint64_t>();
@@ -289,6 +289,19 @@
     co_return answer(200, report());
 }
 
+void Worker::begin_anew() {
+    tasks_.clear();
+    session_ = 1;
+    seq_ = token_ = 0;
+    lease_from_ = steady_now();
+}
+
+asio::awaitable<void> Worker::send_copy(std::shared_ptr<Worker> self, std::string body, Endpoint to) {
+    (void)self;
+    HttpClient client(io_, to, 1024 * 1024);
+    (void)co_await client.request("POST", "/v1/report", std::move(body), 1.0);
+}
+
 asio::awaitable<void> Worker::live(std::shared_ptr<Worker> self) {
     size_t node = 0;
     while (!dead_) {
@@ -299,9 +312,21 @@
         double sent = steady_now();
         uint64_t session = session_;
         HttpClient client(io_, cloud_.nodes[node % cloud_.nodes.size()], 1024 * 1024);
-        auto reply = co_await client.request("POST", "/v1/report", json::serialize(report()),
-                                              cloud_.settings.worker_patience_s);
+        auto body = json::serialize(report());
+        sent_.push_back(body);
+        if (sent_.size() > 400) sent_.pop_front();
+        for (int i = 0; i < copies; ++i) {
+            auto old = sent_[static_cast<size_t>(i) * 7919 % sent_.size()];
+            auto to = cloud_.nodes[(node + static_cast<size_t>(i)) % cloud_.nodes.size()];
+            asio::co_spawn(io_, send_copy(self, std::move(old), to), asio::detached);
+        }
+        auto reply = co_await client.request("POST", "/v1/report", body, cloud_.settings.worker_patience_s);
         if (dead_ || silent) continue;
+        if (deaf) {
+            ++node;
+            co_await sleep_s(cloud_.settings.worker_next_s);
+            continue;
+        }
         if (reply && reply->status == 200) {
             auto v = json::parse(reply->body).as_object();
             auto token = v.at("gavel").to_number<uint64_t>();
@@ -327,11 +352,14 @@
       io_(io),
       server_(io, kLoopback, 1000, [this](HttpRequest r) { return handle(std::move(r)); }) {}
 
+bool Worker::runs(const std::string& job) const {
+    return std::any_of(tasks_.begin(), tasks_.end(),
+                       [&](auto& t) { return t.second.state != "exited" && t.first.starts_with(job + "/"); });
+}
+
 bool Cloud::on_some_machine(const std::string& job) const {
-    for (auto& [n, w] : workers)
-        for (auto& [lot, t] : w->tasks_)
-            if (!w->dead() && t.state != "exited" && lot.starts_with(job + "/")) return true;
-    return false;
+    return std::any_of(workers.begin(), workers.end(),
+                       [&](auto& w) { return !w.second->dead() && w.second->runs(job); });
 }
 
 asio::awaitable<HttpReply> Cloud::handle(HttpRequest r) {
--- a/tests/standin/standins.h
+++ b/tests/standin/standins.h
@@ -27,11 +27,11 @@
     Endpoint door(int controller);
     std::set<int> refused;
 
-    bool down = false;         // 503 to all; leases have their full time again afterwards
-    int lose_txn_answers = 0;  // the next transactions are executed, but not answered in time
+    bool down = false;           // 503 to all; leases have their full time again afterwards
+    int lose_txn_answers = 0;    // the next transactions are executed, but not answered in time
     std::string lose_answer_of;  // the same for those that write this key
-    bool refuse_drops = false;  // 503 to transactions that delete
-    int delay_txns = 0;        // the next transactions are executed late, after their sender gave up
+    bool refuse_drops = false;   // 503 to transactions that delete
+    int delay_txns = 0;          // the next transactions are executed late, after their sender gave up
     // The longest value that it takes; from the next transaction on, which still counts under the old limit.
     size_t value_bytes = 1 << 20, next_value_bytes = 1 << 20;
     int too_large = 0;  // transactions refused for it
@@ -89,7 +89,12 @@
     void start();
     void kill() { dead_ = true, tasks_.clear(); }
     bool dead() const { return dead_; }
-    int cut_from = -1;    // the controller that it can't reach
+    int cut_from = -1;  // the controller that it can't reach
+    bool deaf = false;  // its reports arrive, answers and commands do not reach it
+    int copies = 0;     // of each report, as many older ones come once more
+    void begin_anew();  // as a machine that is back at once: no tasks, its counts from the start
+    uint64_t session() const { return session_; }
+    bool runs(const std::string& job) const;
     bool silent = false;  // its packets are lost; its tasks run on, until its lease ends
     const std::string name, type, zone;
     const bool spot;
@@ -113,6 +118,8 @@
     bool dead_ = false;
     uint64_t session_ = 1, seq_ = 0, token_ = 0;
     double lease_from_;
+    std::deque<std::string> sent_;  // reports, for copies of them
+    asio::awaitable<void> send_copy(std::shared_ptr<Worker> self, std::string body, Endpoint to);
     std::map<std::string, Task> tasks_;
     HttpServer server_;
     friend class Cloud;
