Reading the change again: a former leadership is ended while a campaign is unsure; small fleets keep no machine empty

Cause: where the key named this controller under another lease than that of a campaign it was unsure of, the election would have asked the state service again and again without a pause until the lease was over; and of a fleet of three machines all could have been kept empty for gangs, with none left for lower work. Change: the former leadership is ended whatever a campaign of ours became (its late copy finds the key, or is known by its lease); at most a tenth of the machines that suit is kept. A case over loopback, rows of tables; formatting.

--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -49,9 +49,10 @@
             continue;
         }
         pause = 0;
-        // The key names this controller, which does not lead: a life of it before this one did, or a campaign that it
-        // had given up was executed late. Nobody else can lead before that lease is over, and nobody does.
-        if (!tenure_ && unsure_lease_ == 0 && leader_ == settings_.name && !co_await drop_own_leadership())
+        // The key names this controller, which does not lead: a life of it before this one did, or a campaign
+        // that it had given up was executed late. Nobody else can lead before that lease is over, and nobody
+        // does.
+        if (!tenure_ && leader_ == settings_.name && !co_await drop_own_leadership())
             pause = jitter(0.1, 0.3);
         if (!tenure_ && leader_.empty()) {
             co_await campaign();
@@ -75,8 +76,8 @@
     }
 }
 
-// Of a process that was back within its lease, users and workers once waited until that was over. The transaction is
-// conditional on the key's version, so that it can end no other tenure.
+// Of a process that was back within its lease, users and workers once waited until that was over. The
+// transaction is conditional on the key's version, so that it can end no other tenure.
 asio::awaitable<bool> Election::drop_own_leadership() {
     StateTxn txn;
     txn.conditions.push_back({kLeaderKey, token_});
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -21,6 +21,7 @@
 constexpr double kRecent_s = 120;      // what came in this time is what will come
 constexpr double kSettled_s = 30;      // a task that has just started is left alone
 constexpr double kMove_s = 6;          // from a task's exit to its start elsewhere
+constexpr int64_t kMostKept = 10;      // of the machines that suit, one in so many is kept empty at the most
 constexpr size_t kMostTasks = 400;     // of one job, looked at one by one
 
 // A machine that is up, coming up or to be rented, as far as it is known when it will have room.
@@ -178,9 +179,15 @@
             return static_cast<int64_t>(std::ceil(mean + std::sqrt(mean)));
         };
         Spare spare{&c.last, std::max<int64_t>(largest, within(fresh)), 0};
-        // Where machines are cleared soon enough, what comes until then finds empty ones that lower work leaves.
-        if (tables.large(c.last) && settings.clear_s + settings.report_s <= c.start_within_s)
-            spare.at_once = within(settings.clear_s);
+        // Where machines are cleared soon enough, what comes until then finds empty ones that lower work
+        // leaves. Never so many that a small fleet has none left for that work.
+        if (tables.large(c.last) && settings.clear_s + settings.report_s <= c.start_within_s) {
+            int64_t hold = 0;
+            for (auto& m : tables.machines)
+                if (m && m->up && tables.machine_allowed(c.last, *m) && !tables.spares_gpus(c.last, m->type))
+                    hold += c.last.need.times_in(m->size);
+            spare.at_once = std::min(within(settings.clear_s), hold / kMostKept);
+        }
         out.push_back(spare);
     }
     return out;
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -158,7 +158,8 @@
     };
     for (auto& row : rows) {
         World w;
-        for (auto* name : {"a0", "a1", "a2", "b0", "b1", "b2"}) w.machine(name, "std", std::string(1, name[0]));
+        for (auto* name : {"a0", "a1", "a2", "b0", "b1", "b2"})
+            w.machine(name, "std", std::string(1, name[0]));
         w.machine("as", "std", "a", true);
         auto spec = w.spec("req-1", JobKind::Gang, row.tasks, 7);
         spec.one_zone = true;
@@ -166,7 +167,8 @@
         for (auto& name : row.image_on) w.tables.machines[w.tables.find_machine(name)]->images = {spec.image};
         w.job(spec);
         std::vector<std::string> on;
-        for (auto& p : place_waiting(w.tables, any_machine, w.now)) on.push_back(w.tables.machines[p.machine]->name);
+        for (auto& p : place_waiting(w.tables, any_machine, w.now))
+            on.push_back(w.tables.machines[p.machine]->name);
         EXPECT_EQ(on, row.expected) << row.why;
     }
 }
@@ -187,8 +189,8 @@
 }
 
 TEST(Gangs, TasksThatWouldWaitTooLongForAFetchAreLaunchedAfterIt) {
-    // An image that takes longer to fetch than tasks wait for each other: those that had it gave up, the fetch was
-    // given up with them, and the gang began anew for ever.
+    // An image that takes longer to fetch than tasks wait for each other: those that had it gave up, the
+    // fetch was given up with them, and the gang began anew for ever.
     struct Row {
         const char* why;
         double gb;                   // at 1 GB/s, by protocol up to half as long again
@@ -221,7 +223,8 @@
             job.tasks[1].placed_at = static_cast<float>(w.now - row.ago);
         }
         for (uint32_t t = 0; t < 3; ++t)
-            EXPECT_EQ(may_launch(w.tables, job, t, 30, 2, w.now), row.launches[t]) << row.why << ", task " << t;
+            EXPECT_EQ(may_launch(w.tables, job, t, 30, 2, w.now), row.launches[t])
+                << row.why << ", task " << t;
     }
 }
 
@@ -246,19 +249,23 @@
         const char* why;
         JobKind kind;
         double cpus, start_within_s, clear_s;
+        int machines;
         std::vector<std::pair<int64_t, int64_t>> kept;  // tasks, of those at once
     };
     // Six jobs of two tasks in two minutes: 0.1 tasks a second. A boot takes 33 s and two reports 4.
     const Row rows[] = {
-        {"gangs", JobKind::Gang, 7, 25, 10, {{6, 2}}},
-        {"clearing takes too long", JobKind::Gang, 7, 25, 60, {{6, 0}}},
-        {"small tasks need no machine cleared", JobKind::Array, 1, 25, 10, {{6, 0}}},
-        {"they may wait for a boot", JobKind::Gang, 7, 60, 10, {}},
+        {"gangs", JobKind::Gang, 7, 25, 10, 30, {{6, 2}}},
+        {"clearing takes too long", JobKind::Gang, 7, 25, 60, 30, {{6, 0}}},
+        {"small tasks need no machine cleared", JobKind::Array, 1, 25, 10, 30, {{6, 0}}},
+        {"they may wait for a boot", JobKind::Gang, 7, 60, 10, 30, {}},
+        {"a tenth of the machines at the most", JobKind::Gang, 7, 25, 10, 14, {{6, 1}}},
+        {"a fleet of three lets lower work run", JobKind::Gang, 7, 25, 10, 3, {{6, 0}}},
     };
     for (auto& row : rows) {
         World w;
         w.tables.classes.resize(w.tables.names.classes.intern("class") + 1);
         w.tables.classes.back().start_within_s = row.start_within_s;
+        for (int i = 0; i < row.machines; ++i) w.machine("m" + std::to_string(i));
         for (int i = 0; i < 6; ++i)
             w.job(w.spec("req-" + std::to_string(i), row.kind, 2, row.cpus, 0, Priority::High));
         SizingSettings settings;
--- a/tests/links_service_test.cpp
+++ b/tests/links_service_test.cpp
@@ -103,8 +103,8 @@
 }
 
 TEST(LinksService, AControllerAloneWithItsWorkersIsLeftByThemAndIsQuietOnItsReturn) {
-    // It reaches neither the state service nor a peer, and hears all workers. They are answered until its grace is
-    // over and then go to the next leader within their lease; users get nothing that may be old.
+    // It reaches neither the state service nor a peer, and hears all workers. They are answered until its
+    // grace is over and then go to the next leader within their lease; users get nothing that may be old.
     Service s(3, cables());
     start_work(s);
     int old = s.leader().back() - '0';
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -126,7 +126,11 @@
     const Row rows[] = {
         {"nothing waits", {}, 10, 0, {}},
         {"all can", {{1, 50, 10}, {2, 40, 10}}, 10, 0, {}},
-        {"the one with the most work goes, although it is due first", {{1, 90, 10}, {2, 40, 11}, {3, 40, 12}}, 10, 0, {1}},
+        {"the one with the most work goes, although it is due first",
+         {{1, 90, 10}, {2, 40, 11}, {3, 40, 12}},
+         10,
+         0,
+         {1}},
         {"one that is too large by itself", {{1, 500, 20}, {2, 100, 30}}, 10, 0, {1}},
         {"after other work", {{1, 50, 10}, {2, 40, 10}}, 10, 30, {1}},
         {"other work alone is too much", {{1, 50, 10}, {2, 40, 10}}, 10, 200, {1, 2}},
@@ -136,7 +140,8 @@
 }
 
 TEST(Overload, WhereNotAllCanBeInTimeTheLargestWaitsForItsNextTime) {
-    // The one due soonest went first: under twice the load nearly all began, and were passed once they were late.
+    // The one due soonest went first: under twice the load nearly all began, and were passed once they were
+    // late.
     Cluster c(1);  // 8 CPUs; times 30 and 60 s
     auto large = c.wait(16, 10);
     auto small = c.wait(8, 10), other = c.wait(8, 10);
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -82,6 +82,23 @@
     }
 }
 
+TEST(Service, AFormerLifesLeadershipIsEndedWhileACampaignIsStillUnsure) {
+    // The answers to the campaign and to the end of the former leadership are lost: the key then names this
+    // controller under another lease than the one it is unsure of. Nothing may wait for either, nor ask
+    // without a pause.
+    Service::With with;
+    with.lease_s = 2 * test::kPatience_s;
+    Service s(1, with);
+    EXPECT_EQ(s.submit("req-1", "array", 1), 201);
+    EXPECT_TRUE(s.done("req-1"));
+    s.crash(0);
+    s.state->lose_txn_answers = 3;
+    s.add_node(0);
+    EXPECT_EQ(s.submit("req-2", "array", 1) / 100, 2);
+    EXPECT_TRUE(s.done("req-2"));
+    EXPECT_TRUE(s.cloud->broken.empty()) << s.cloud->broken[0];
+}
+
 TEST(Service, ALateDropOfAFormerLeadershipEndsNoOther) {
     // The transaction names the version of the leadership that it ends; a copy of it finds another.
     Service s(2);
