Settings that look odd and are served, and those that are refused by name, as rows

Change: rows for missing figures, a limit below its guarantee, another initial_size, a zone without a controller, and for negative, infinite and wordy figures. No source changes.

--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -115,6 +115,31 @@
     }
 }
 
+TEST(Settings, WhatIsServedAlthoughItLooksOdd) {
+    struct Row {
+        const char *from, *to;
+        double cpus, gpus, gpus_max;
+    };
+    const Row rows[] = {
+        {"cpus = 64.0\ncpus_max = 136.0\n", "", 0, 4, 12},  // a figure that is missing is none
+        {"gpus = 4.0\ngpus_max = 12.0\n", "", 64, 0, 0},
+        {"gpus_max = 12.0", "gpus_max = 2.0", 64, 4, 2},  // a limit below its guarantee: the tables cut that
+        {"clock_off_ms = 100.0", "clock_off_ms = 100.0\ninitial_size = 7", 64, 4, 12},
+        {"zones = [\"a\", \"b\"]", "zones = [\"a\", \"b\", \"nobody-here\"]", 64, 4, 12},
+    };
+    for (auto& row : rows) {
+        std::string text = kSound;
+        auto at = text.find(row.from);
+        ASSERT_NE(at, std::string::npos) << row.from;
+        text.replace(at, std::string(row.from).size(), row.to);
+        ASSERT_EQ(error_of(text), "") << row.to;
+        auto s = load_settings(File(text).path);
+        EXPECT_EQ(s.teams.at(0).cpus, row.cpus) << row.to;
+        EXPECT_EQ(s.teams.at(0).gpus, row.gpus) << row.to;
+        EXPECT_EQ(s.teams.at(0).gpus_max, row.gpus_max) << row.to;
+    }
+}
+
 TEST(Settings, NamesWhatIsWrong) {
     struct Row {
         const char *from, *to, *named;
@@ -128,6 +153,9 @@
         {"cancel_s = 38.0", "cancel_s = 10.0", "deployment.workers.cancel_s"},
         {"zones = [\"a\", \"b\"]", "zones = []", "deployment.zones"},
         {"cpus_max = 136.0", "cpus_max = nan", "cpus_max"},
+        {"gpus = 4.0", "gpus = -4.0", "teams[0].gpus"},
+        {"gpus = 4.0", "gpus = inf", "teams[0].gpus"},
+        {"cpus = 64.0", "cpus = \"many\"", "teams[0].cpus"},
         {"host_name = \"millstone-1\"", "host_name = \"millstone-0\"", "seeds[0].host_name"},
         {"mem_mb = 56.0", "", "deployment.resources.mem_mb"},
         {"[external]", "[external", ""},
@@ -147,9 +175,8 @@
     EXPECT_FALSE(load_properties(File("# nothing set\n").path).doors_enabled);
     EXPECT_TRUE(load_properties(File("doors.enabled = true\n").path).doors_enabled);
     EXPECT_EQ(load_properties(File("preemption.round_s = 4.5\n").path).preemption_round_s, 4.5);
-    for (const char* bad :
-         {"preemption.round_s = 0\n", "preemption.round_s = often\n", "election.lease_s: 1000\n",
-          "doors.enabled = perhaps\n"})
+    for (const char* bad : {"preemption.round_s = 0\n", "preemption.round_s = often\n",
+                            "election.lease_s: 1000\n", "doors.enabled = perhaps\n"})
         EXPECT_THROW(load_properties(File(bad).path), SettingsError) << bad;
     EXPECT_THROW(load_properties("/nonexistent.properties"), SettingsError);
 }
