Reading the change again: no list of machines by image where there is one zone, a dead name removed

Cause: a gang bound to one zone had a second list of machines made on each pass, to choose between zones, where there is only one; RoomIs had a function for its names that nobody called. Change: the list is made where there are several zones; the function is gone.

--- a/src/coordination/account.cpp
+++ b/src/coordination/account.cpp
@@ -33,8 +33,6 @@
 
 }  // namespace
 
-const char* name_of(RoomIs is) { return kNames[static_cast<size_t>(is)]; }
-
 RoomAccount account_room(const Tables& tables, const Usable& usable, double now) {
     RoomAccount out;
     for (auto& m : tables.machines) {
--- a/src/coordination/account.h
+++ b/src/coordination/account.h
@@ -26,7 +26,6 @@
     Fragment,   // beside tasks
 };
 inline constexpr size_t kRoomKinds = static_cast<size_t>(RoomIs::Fragment) + 1;
-const char* name_of(RoomIs is);
 
 // By kind: the sum over all machines whose type is known. What runs adds up with the rest to all there is.
 struct RoomAccount {
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -167,7 +167,8 @@
     std::vector<Index> zones_of(Index index) {
         auto& job = *tables_.jobs[index];
         std::map<Index, int64_t> near;
-        if (job.spec.image_gb > 0) {
+        // With one zone there is nothing to choose.
+        if (job.spec.image_gb > 0 && queues_->of(index, false).zones().size() > 1) {
             auto& queue = queues_->of(index, true);
             for (auto& [z, zone] : queue.zones()) near[z] = std::min<int64_t>(zone.room, job.pending);
         }
