--- a/tests/links_service_test.cpp
+++ b/tests/links_service_test.cpp
@@ -102,6 +102,34 @@
     EXPECT_EQ(s.leader().back() - '0', leader);
 }
 
+TEST(LinksService, AControllerAloneWithItsWorkersIsLeftByThemAndIsQuietOnItsReturn) {
+    // It reaches neither the state service nor a peer, and hears all workers. They are answered until its grace is
+    // over and then go to the next leader within their lease; users get nothing that may be old.
+    Service s(3, cables());
+    start_work(s);
+    int old = s.leader().back() - '0';
+    Links links{s};
+    links.state(old, Is::Refused);
+    for (int other : {(old + 1) % 3, (old + 2) % 3}) links.peer(old, other, Is::Refused);
+    ASSERT_TRUE(s.until([&] { return !s.leader().empty() && s.leader().back() - '0' != old; }));
+    auto next = s.leader();
+    ASSERT_TRUE(s.until([&] { return figure(s, next.back() - '0', "workers_direct") >= kWork; }));
+    auto at_old = [&](const char* method, const std::string& target, const std::string& body = "") {
+        auto reply = s.ask_node(static_cast<size_t>(old), method, target, body);
+        return reply ? reply->status : 0;
+    };
+    EXPECT_TRUE(s.until([&] { return at_old("GET", "/healthz") == 503; }));
+    EXPECT_EQ(at_old("GET", "/v2/runs/req-1"), 503);
+    EXPECT_EQ(at_old("GET", "/v2/runs/req-999"), 503);
+    EXPECT_EQ(at_old("POST", "/v2/runs", Service::submission("req-2", "array", 1)), 503);
+    links.state(old, Is::Up);
+    for (int other : {(old + 1) % 3, (old + 2) % 3}) links.peer(old, other, Is::Up);
+    EXPECT_TRUE(s.until([&] { return at_old("GET", "/v2/runs/req-1") == 200; }));
+    EXPECT_EQ(figure(s, old, "leading"), 0);
+    EXPECT_EQ(s.leader(), next);
+    expect_nothing_lost(s, "alone with its workers");
+}
+
 TEST(LinksService, TwoHopsServeWhereOnlyThoseAreLeft) {
     Service s(3, cables());
     start_work(s);
