--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -153,6 +153,19 @@
            std::all_of(dependants.begin(), dependants.end(), [&](Index d) { return jobs[d]->cancel_logged; });
 }
 
+bool Tables::settled(Index index) const {
+    if (jobs[index]->end_sent) return false;
+    std::vector<Index> left{index};
+    std::set<Index> seen{index};
+    for (size_t i = 0; i < left.size(); ++i) {
+        auto& job = *jobs[left[i]];
+        if (job.cancelled != job.cancel_recorded) return false;
+        for (auto d : dependencies_.of(left[i]))
+            if (seen.insert(d).second) left.push_back(d);
+    }
+    return true;
+}
+
 // By when a job should end, and what priority it has, for those that need it. Whether that changed.
 bool Tables::take_needs(Index index) {
     auto& job = *jobs[index];
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -52,6 +52,7 @@
     bool cancel_recorded = false;  // or implied by the record of a job that it needs: it may be told
     bool cancel_logged = false;    // by an entry of its own: those that it needs may leave the log
     bool ending = false;           // its end is queued to be recorded
+    bool end_sent = false;         // and may stand recorded, although this leader has no answer yet
     std::vector<Task> tasks;
     uint32_t pending = 0, placed = 0, done = 0, running = 0;
     uint32_t first_pending = 0;  // no pending task lies below
@@ -184,6 +185,9 @@
     std::vector<Index> cancel_dependants(Index job);
     // A cancelled job's entry stands for its dependants' until each has its own; then it may leave the log.
     bool cancellation_logged(Index job) const;
+    // What is known of the job is all that may be recorded of its end: neither its cancellation, or that of a job that
+    // it needs, nor its end is on its way.
+    bool settled(Index job) const;
     // What dependants ask of all jobs, once a fresh leader knows the times of all.
     void spread_needs();
     void mark_guaranteed(Job& job) const;
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -147,6 +147,20 @@
     }
 }
 
+// An answer is of use for as long as the lease counts from its request, while the next renewals are on their way.
+// Given up on after a quarter of the lease, a state service that took 0.7 s for each answer kept its leader unsure,
+// and nobody else could lead.
+asio::awaitable<void> Election::renew(std::shared_ptr<Tenure> tenure, OneShot<bool> renewed) {
+    double started = steady_now();
+    auto result = co_await state_.renew(tenure->lease, std::max(0.3, lease_s_));
+    if (result) tenure->sure_until = std::max(tenure->sure_until, sure_until(started, lease_s_));
+    if (result.outcome == StateOutcome::Missing) {
+        tenure->ended = true;
+        if (tenure == tenure_) wake_.cancel();
+    }
+    renewed.set(static_cast<bool>(result));
+}
+
 asio::awaitable<void> Election::hold() {
     auto tenure = tenure_;
     spdlog::info("election: won token={}", tenure->token);
@@ -157,13 +171,10 @@
             std::chrono::duration<double>(pause)));
         co_await wake_.async_wait(asio::as_tuple(asio::use_awaitable));
         if (tenure->ended) break;
-        double started = steady_now();
-        auto renewed = co_await state_.renew(tenure->lease, std::max(0.3, lease_s_ / 4));
-        if (renewed) {
-            tenure->sure_until = std::max(tenure->sure_until, sure_until(started, lease_s_));
+        OneShot<bool> renewed(io_.get_executor());
+        asio::co_spawn(io_, renew(tenure, renewed), asio::detached);
+        if (co_await renewed.wait(std::max(0.3, lease_s_ / 4)) == true) {
             pause = lease_s_ / 4;
-        } else if (renewed.outcome == StateOutcome::Missing) {
-            tenure->ended = true;
         } else {
             // Down or unanswered: again soon, without adding to a flood. The lease may come back to life
             // with the service, as it has its full time again after an outage.
--- a/src/coordination/election.h
+++ b/src/coordination/election.h
@@ -1,6 +1,8 @@
 // One leader at a time: a lease of the state service holds the key `leader`; the key's version when it was
 // won is the token that every answer and every transaction carries.
 #pragma once
+#include <fmt/format.h>
+
 #include <cmath>
 #include <functional>
 #include <memory>
@@ -10,6 +12,7 @@
 #include "bookkeeping/tables.h"
 #include "membership/decide.h"
 #include "settings/settings.h"
+#include "transport/one_shot.h"
 
 namespace weirmill {
 
@@ -39,6 +42,15 @@
     return std::max(0.0, (s.cancel_s - s.lease_s * (1 + kDrift) - 1.5 * s.report_s - 1.0) * 0.85);
 }
 
+// Told at start where the settings leave no time for a grace; empty: they do.
+inline std::string grace_warning(const Settings& s) {
+    if (answering_grace(s) > 0) return "";
+    return fmt::format(
+        "settings: deployment.workers.cancel_s = {} is not above workers.lease_s = {} with margins (1.5 times "
+        "workers.report_s = {}, and a second): an outage of the state service that outlasts the leader's lease ends the workers' tasks",
+        s.cancel_s, s.lease_s, s.report_s);
+}
+
 // When everything that an earlier leader may have kept alive on a silent machine is gone.
 inline double earlier_leader_expiry(const Settings& s, double won) {
     return won + answering_grace(s) + s.lease_s * (1 + 2 * kDrift) + 4 * kMargin_s;
@@ -88,6 +100,7 @@
     boost::asio::awaitable<bool> drop_own_leadership();
     boost::asio::awaitable<void> campaign();
     boost::asio::awaitable<void> hold();
+    boost::asio::awaitable<void> renew(std::shared_ptr<Tenure> tenure, OneShot<bool> renewed);
     boost::asio::awaitable<void> give_up_leadership(uint64_t token, HandOvers to);
     void learn(const std::string& leader, uint64_t token);
 
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -219,6 +219,7 @@
     if (now_ >= next_check_) {
         next_check_ = now_ + 0.5;
         check_machines();
+        repeat_stops();
     }
     if (now_ >= next_round_) {
         next_round_ = now_ + properties_.preemption_round_s;
--- a/src/coordination/leader.h
+++ b/src/coordination/leader.h
@@ -137,7 +137,7 @@
     boost::asio::awaitable<void> rent(std::shared_ptr<Leader> self, std::vector<Rental> rentals);
     boost::asio::awaitable<void> give_back(std::shared_ptr<Leader> self, std::vector<std::string> names);
     boost::asio::awaitable<void> send_stops(std::shared_ptr<Leader> self, std::string addr, std::string by,
-                                             std::string body);
+                                             std::string body, bool by_any);
     boost::asio::awaitable<std::optional<HttpAnswer>> cloud_call(const char* method, std::string target,
                                                                  std::string body, double timeout_s);
 
@@ -194,6 +194,7 @@
     void drop_new_job(Index job);
     void status(PeerCall& call, Reply& reply);
     void cancel(PeerCall& call, Reply& reply);
+    void ask_cancel(Index job);
     void report(PeerCall& call, Reply& reply);
     void take_report(Machine& m, Index index, const Report& r);
     void take_task(Machine& m, Index index, const TaskReport& t);
@@ -205,6 +206,7 @@
     void stop_task(Index job, uint32_t task, bool graceful);
     void drain(Index machine, double notice_s);
     void answer_report(Index machine, Held& held);
+    bool renew_lease(Reply& reply, const std::vector<Command>& commands);
     void release_held(bool due_only);
     bool unsettled(const Machine& m) const;
     void machine_gone(Index machine, const char* why);
@@ -215,7 +217,9 @@
     void size_fleet();
     SizingSettings sizing() const;
     void flush();
+    void mark_ends(const LedgerBatch& batch, bool sent);
     void flush_stops();
+    void repeat_stops();
     bool usable(const Machine& m) const;
     Usable usable_now() const {
         return [this](const Machine& m) { return usable(m); };
@@ -266,7 +270,8 @@
 
     bool dirty_ = true;  // something changed that scheduling should look at
     double next_schedule_ = 0, next_round_ = 0, next_check_ = 0, next_sizing_ = 0, next_closing_ = 0,
-           next_account_ = 0, next_warning_ = 0;
+           next_account_ = 0, next_warning_ = 0, next_stops_ = 0;
+    size_t stops_cursor_ = 0;  // machines are told in turn
     uint64_t rounds_ = 0, passes_ = 0;
     std::string recorded_types_, recorded_shape_;
     bool renting_ = false, returning_ = false, listed_once_ = false;
--- a/src/coordination/leader_inbox.cpp
+++ b/src/coordination/leader_inbox.cpp
@@ -102,10 +102,7 @@
         if (job.version == 0) return;  // on its way to be recorded
         if (!in.record.cancelled || job.cancel_recorded) return forget(id);
         // Cancelled by a door. Its record goes only once the log tells it, so that no request is lost.
-        if (!job.cancelled && !job.ending) {
-            job.cancelled = true;
-            ledger_.cancel(it->second);
-        }
+        if (!job.cancelled && !job.ending) ask_cancel(it->second);
         return;
     }
     // What is neither alive here nor a job of its own has ended.
--- a/src/coordination/leader_records.cpp
+++ b/src/coordination/leader_records.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr double kFlushPause_s = 0.04;  // events gather between two transactions
+constexpr double kCall_s = 1.0;
 
 // The condition on the leadership is among those that failed.
 bool names_leader(const std::vector<std::string>& failed) {
@@ -29,21 +30,29 @@
     auto batch = ledger_.next(static_cast<int>(budget));
     if (batch.empty()) return;
     writes_.take(static_cast<double>(batch.txn.changes.size()));
+    mark_ends(batch, true);
     flushing_ = true;
     asio::co_spawn(io_, commit(shared_from_this(), std::move(batch)), asio::detached);
 }
 
-// Whether a transaction without an answer was applied. Its keys say so: nobody else may write them.
+void Leader::mark_ends(const LedgerBatch& batch, bool sent) {
+    for (auto& e : batch.entries)
+        if (e.kind == EntryKind::Finish) tables_.jobs[e.job]->end_sent = sent;
+}
+
+// Whether a transaction without an answer was applied. Its keys say so: nobody else may write them, or delete them.
 asio::awaitable<Leader::Applied> Leader::was_applied(const StateTxn& txn) {
     auto write =
         std::find_if(txn.changes.begin(), txn.changes.end(), [](auto& c) { return !c.value.empty(); });
-    if (write == txn.changes.end()) co_return Applied{true, true, 0};  // deletions only, and they are done
-    auto item = co_await state_.get(write->key, 1.0);
-    if (!item) co_return Applied{item.outcome == StateOutcome::Missing, false, 0};
+    bool deletes = write == txn.changes.end();
+    auto& change = deletes ? txn.changes.front() : *write;
+    auto item = co_await state_.get(change.key, kCall_s);
+    if (!item) co_return Applied{item.outcome == StateOutcome::Missing, deletes, 0};
+    if (deletes) co_return Applied{true, false, 0};
     uint64_t expected = 0;
     for (auto& c : txn.conditions)
-        if (c.key == write->key) expected = c.version;
-    bool ours = item.value.version != expected && item.value.value == read::parse(write->value);
+        if (c.key == change.key) expected = c.version;
+    bool ours = item.value.version != expected && item.value.value == read::parse(change.value);
     co_return Applied{true, ours, item.value.version};
 }
 
@@ -51,15 +60,21 @@
 asio::awaitable<void> Leader::commit(std::shared_ptr<Leader> self, LedgerBatch batch) {
     bool unsure = false;
     for (double pause = 0.1; !stopped_; pause = std::min(1.0, pause * 1.7)) {
-        auto result = co_await state_.txn(batch.txn, 1.0);
+        auto result = co_await state_.txn(batch.txn, kCall_s);
         if (stopped_) co_return;
         bool refused_late = unsure && result.outcome == StateOutcome::Invalid;
-        if (refused_late ||
+        bool open = result.outcome == StateOutcome::Unknown ||
+                    (unsure && result.outcome == StateOutcome::Refused);
+        if (open && !unsure) post(TxnUnsure{});
+        unsure = unsure || open;
+        if (open || refused_late ||
             (unsure && result.outcome == StateOutcome::Conflict && !names_leader(result.failed))) {
+            // The keys are read after each copy without an answer, not only after a refused one: where no copy is
+            // answered, the first may have been carried out long ago, and others tell users of it.
             auto applied = co_await was_applied(batch.txn);
             if (stopped_) co_return;
-            if (!applied.known) {
-                co_await sleep_s(pause);
+            if (!applied.known || (open && !applied.yes)) {
+                co_await sleep_s(pause * std::uniform_real_distribution<double>(0.7, 1.3)(random_));
                 continue;
             }
             if (applied.yes) {
@@ -75,12 +90,6 @@
                 co_return;
             }
         }
-        if (result.outcome == StateOutcome::Unknown || (unsure && result.outcome == StateOutcome::Refused)) {
-            if (!unsure) post(TxnUnsure{});
-            unsure = true;
-            co_await sleep_s(pause * std::uniform_real_distribution<double>(0.7, 1.3)(random_));
-            continue;
-        }
         post(TxnDone{std::move(batch), std::move(result)});
         co_return;
     }
@@ -213,6 +222,7 @@
         m.result.too_fast ? writes_.too_fast() : writes_.drain();
         flush_not_before_ = now_ + std::uniform_real_distribution<double>(0.2, 0.5)(random_);
     }
+    mark_ends(m.batch, false);
     ledger_.rejected(m.batch);
     for (auto& [j, door] : again) ledger_.new_job(j, door);
 }
--- a/src/coordination/leader_tasks.cpp
+++ b/src/coordination/leader_tasks.cpp
@@ -11,6 +11,11 @@
 
 namespace asio = boost::asio;
 
+namespace {
+constexpr size_t kStopsRepeated = 64;     // machines at once
+constexpr double kMissedReports = 1.5;    // without a report for so many of their intervals, a machine is told by itself
+}  // namespace
+
 // What this leader saw of it is its whole run. Learnt from tasks that an earlier leader had started, or that
 // went on from saved progress, a class's run times came out at a quarter after each change of leader.
 static bool ran_whole(const Task& task) {
@@ -107,7 +112,6 @@
     if (job.ending || job.version == 0) return;
     if (job.spec.kind == JobKind::Gang && job.placed == 0) job.gang_ending = false;
     if (job.cancelled) {
-        if (!job.cancel_recorded) return;
         for (uint32_t t = 0; t < job.tasks.size(); ++t)
             if (job.tasks[t].state == TaskState::Placed && (!job.tasks[t].stopping || job.tasks[t].graceful))
                 stop_task(j, t, false);
@@ -146,22 +150,64 @@
         if (!m || !m->up || m->addr.empty()) continue;
         asio::co_spawn(io_,
                        send_stops(shared_from_this(), m->addr, m->relayed_by,
-                                  direct_commands(tenure_->token, m->session, commands)),
+                                  direct_commands(tenure_->token, m->session, commands), false),
                        asio::detached);
     }
     direct_.clear();
 }
 
+// Tasks of cancelled jobs on machines that do not come here are stopped where they are, again and again until they are
+// proven gone: an earlier leader that can't know of the cancellation may still answer their workers. The session is the
+// one that the placement was recorded with; in a newer one they are gone. The command shows the worker our token, so
+// from then on it drops what the earlier leader answers.
+void Leader::repeat_stops() {
+    if (now_ < next_stops_) return;
+    next_stops_ = now_ + settings_.report_s;
+    size_t count = tables_.machines.size(), left = kStopsRepeated;
+    for (size_t n = 0; n < count && left > 0; ++n) {
+        stops_cursor_ = (stops_cursor_ + 1) % count;
+        auto* m = tables_.machines[stops_cursor_].get();
+        if (!m || m->addr.empty() || m->status == MachineStatus::Failed) continue;
+        if (now_ - std::max(m->last_report, tenure_->won) <= kMissedReports * settings_.report_s) continue;
+        uint64_t session = m->up ? m->session : 0;
+        for (auto& ref : m->tasks)
+            session = std::max<uint64_t>(session, tables_.jobs[ref.job]->tasks[ref.task].session);
+        std::vector<Command> commands;
+        for (auto& ref : m->tasks) {
+            auto& job = *tables_.jobs[ref.job];
+            auto& task = job.tasks[ref.task];
+            if (job.cancelled && task.session == session)
+                commands.push_back({CommandOp::Stop, job.spec.id, ref.task, task.attempt, 0});
+        }
+        if (commands.empty()) continue;
+        --left;
+        metrics_.count("stops_repeated_total");
+        asio::co_spawn(io_,
+                       send_stops(shared_from_this(), m->addr, m->relayed_by,
+                                  direct_commands(tenure_->token, session, commands), true),
+                       asio::detached);
+    }
+}
+
 // By the controller that relays for the worker, where there is one: the worker can't be reached from here, as
-// it seems.
+// it seems. `by_any`: by each other controller in turn, where it turns out that it can't.
 asio::awaitable<void> Leader::send_stops(std::shared_ptr<Leader> self, std::string addr, std::string by,
-                                         std::string body) {
+                                         std::string body, bool by_any) {
     (void)self;
     if (!by.empty() && pass_on) {
         PeerCall call{PeerOp::Command, addr, body};
-        if (co_await pass_on(std::move(by), std::move(call))) co_return;
+        std::string relay = by;
+        if (co_await pass_on(std::move(relay), std::move(call))) co_return;
+    }
+    std::string again = body;
+    if (co_await send_commands(io_, addr, std::move(again), 2.0) || !by_any || !pass_on) co_return;
+    for (auto& peer : settings_.peers) {
+        if (stopped_) co_return;
+        if (peer.name == by) continue;
+        std::string name = peer.name;
+        PeerCall call{PeerOp::Command, addr, body};
+        if (co_await pass_on(std::move(name), std::move(call))) co_return;
     }
-    co_await send_commands(io_, std::move(addr), std::move(body), 2.0);
 }
 
 asio::awaitable<bool> send_commands(asio::io_context& io, std::string addr, std::string body,
--- a/src/coordination/leader_users.cpp
+++ b/src/coordination/leader_users.cpp
@@ -41,9 +41,11 @@
     m.reply.set({400, "{}"});
 }
 
-// Nothing is told before it is recorded.
+// Nothing is told before it is recorded, and nothing older than what may be recorded: another controller's door reads
+// the records. One that told an end from a transaction that this leader had no answer for was once followed by
+// "running" from here.
 bool Leader::may_tell(const Job& job) const {
-    return job.version != 0 && job.cancelled == job.cancel_recorded;
+    return job.version != 0 && tables_.settled(tables_.job_index.at(job.spec.id));
 }
 
 // The last word from the state service was a failure: neither a transaction nor a renewal has worked since.
@@ -94,8 +96,7 @@
     if (inbox_.count(spec.id)) collect_inbox();
     if (auto* job = tables_.find_job(spec.id)) {
         if (may_tell(*job)) return reply.set(job_reply(*job, PeerOp::Submit, 200));
-        if (job->version != 0) return reply.set(come_back());
-        if (state_down()) return reply.set(undecided());
+        if (job->version != 0 || state_down()) return reply.set(undecided());
         waiters_[spec.id].emplace_back(PeerOp::Submit, reply);
         return;
     }
@@ -223,7 +224,9 @@
     if (!valid_job_id(call.subject)) return reply.set({404, "{}"});
     if (!sure(now_)) return reply.set(undecided());
     if (auto* job = tables_.find_job(call.subject)) {
-        return reply.set(may_tell(*job) ? job_reply(*job, PeerOp::Status, 200) : come_back());
+        // What is on its way to be recorded may be told by a door, which reads the records: polls of a job whose
+        // cancellation was asked for, in a minute without answers to transactions, once all failed here.
+        return reply.set(may_tell(*job) ? job_reply(*job, PeerOp::Status, 200) : undecided());
     }
     if (auto it = finals_.find(call.subject); it != finals_.end())
         return reply.set(final_reply(call.subject, it->second, PeerOp::Status));
@@ -249,8 +252,16 @@
     // Answered once the cancellation, or the end that came before it, is recorded.
     waiters_[call.subject].emplace_back(PeerOp::Cancel, reply);
     if (job.cancelled || job.ending) return;
-    job.cancelled = true;
-    ledger_.cancel(it->second);
+    ask_cancel(it->second);
+}
+
+// From here on its tasks are of use to nobody, so they are stopped before the cancellation is recorded. Its record may
+// stand, and another controller's door tell of it, long before this leader has an answer for it: tasks that waited for
+// the answer once ran on for as long as transactions went unanswered.
+void Leader::ask_cancel(Index j) {
+    tables_.jobs[j]->cancelled = true;
+    ledger_.cancel(j);
+    check_job(j);
 }
 
 // Nothing: it makes no sense, and is as good as not read.
--- a/src/coordination/leader_workers.cpp
+++ b/src/coordination/leader_workers.cpp
@@ -56,8 +56,10 @@
         metrics_.count("report_copies_total");
         return reply.set({503, "{}"});
     }
-    if (!m.up && !is_back(m.hearing, {r.session, r.seq}, settings_, now_))
-        return reply.set({200, report_answer(tenure_->token, {}), 0, tenure_->token});
+    if (!m.up && !is_back(m.hearing, {r.session, r.seq}, settings_, now_)) {
+        renew_lease(reply, {});
+        return;
+    }
     m.addr = r.addr;
     m.relayed_by = call.sender;
     if (call.sender.empty()) m.direct_at = now_;
@@ -242,9 +244,20 @@
             commands.push_back({CommandOp::Start, job.spec.id, ref.task, task.attempt, 0});
         }
     }
+    if (!renew_lease(held.reply, commands)) return;
     m.last_answer = now_;
     note_answer(m.hearing, {m.session, held.seq}, m.saw_token, now_);
-    held.reply.set({200, report_answer(tenure_->token, commands), 0, tenure_->token});
+}
+
+// The only way in which a report is answered with 200, which renews its worker's lease. One that was held while the
+// grace ran out is not, either.
+bool Leader::renew_lease(Reply& reply, const std::vector<Command>& commands) {
+    if (tenure_->ended || past_grace()) {
+        reply.set({503, "{}"});
+        return false;
+    }
+    reply.set({200, report_answer(tenure_->token, commands), 0, tenure_->token});
+    return true;
 }
 
 void Leader::release_held(bool due_only) {
--- a/src/doors/door.cpp
+++ b/src/doors/door.cpp
@@ -288,8 +288,9 @@
     auto moment = view_.moment();
     auto txn = door_accept(spec.id, record);
     auto result = co_await state_.txn(std::move(txn), kWrite_s);
-    if (result.outcome == StateOutcome::Conflict) {
+    if (result.outcome == StateOutcome::Conflict || result.outcome == StateOutcome::Unknown) {
         heard(result);
+        // Without an answer it may have been taken all the same, now or by an earlier try.
         auto seen = co_await look(spec.id, false);
         // Nowhere: what stood in the way is gone already.
         if (!seen || seen->standing.at == Standing::At::Nowhere) co_return come_back();
@@ -323,7 +324,9 @@
         auto txn = door_cancel(id, seen->version, seen->record.value_or(DoorRecord{}));
         auto result = co_await state_.txn(std::move(txn), kWrite_s);
         if (result.too_fast) writes_.too_fast();
-        if (!heard(result) || !result) co_return come_back();
+        // Without an answer it may have been carried out, or be later: what is recorded is looked at either way.
+        if (!heard(result) && result.outcome != StateOutcome::Unknown) co_return come_back();
+        if (result.outcome == StateOutcome::Conflict) co_return come_back();
         metrics_.count("door_cancellations_total");
     }
     // A leader may have collected it before, and even ended it since: looked at again, from the first place
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -51,6 +51,7 @@
             properties_file.empty() ? weirmill::Properties{} : weirmill::load_properties(properties_file);
         for (auto* e : {&settings.api, &settings.peer, &settings.cloud, &settings.state})
             weirmill::resolve(*e);
+        if (auto warning = weirmill::grace_warning(settings); !warning.empty()) spdlog::warn(warning);
         if (check) {
             std::cout << "settings are sound\n";
             return 0;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -118,8 +118,6 @@
     s.gang_wait_s = need_number(w["gang_wait_s"], "deployment.workers.gang_wait_s", tiny);
     s.gang_peer_s = need_number(w["gang_peer_s"], "deployment.workers.gang_peer_s", tiny);
     s.cancel_s = need_number(w["cancel_s"], "deployment.workers.cancel_s", tiny);
-    if (s.cancel_s <= s.lease_s)
-        throw SettingsError("settings: deployment.workers.cancel_s must be greater than lease_s");
     auto st = d["state"];
     s.state_rps = need_number(st["rps"], "deployment.state.rps", 1);
     s.state_write_rps = need_number(st["write_rps"], "deployment.state.write_rps", 1);
--- a/tests/service.h
+++ b/tests/service.h
@@ -37,6 +37,7 @@
         int txn_ops = 12;
         bool links = false;   // membership, and every link between the processes goes over a cable of its own
         double lease_s = 1.5;  // of the leadership
+        double patience_s = 4;  // of workers, for an answer
         std::set<int> old{};  // controllers whose version says nothing of links
     };
     // What a controller calls, or is called over; see standin/cable.h.
@@ -60,6 +61,7 @@
         state = std::make_unique<standin::State>(io);
         cloud = std::make_unique<standin::Cloud>(io, base);
         base.cloud = cloud->at();
+        base.worker_patience_s = with.patience_s;
         if (with.links) {
             base.lease_s = 6;
             base.cancel_s = 14;
