A poll at the old leader of a job that was cancelled through the next one alone

The case passed without the guard that it is for (an unsure leader tells nothing of its own), as its only cancelled job had been asked for at the old leader too. One more job is cancelled through the next leader alone.

--- a/tests/meetings_service_test.cpp
+++ b/tests/meetings_service_test.cpp
@@ -256,16 +256,19 @@
     Meeting s(3, apart());
     s.start("req-2", 2);
     s.start("req-3", 2);
-    bool told = false;
+    s.start("req-4", 2);  // cancelled through the next leader alone
+    bool told = false, next_told = false;
     auto look = [&] {
         for (size_t node = 0; node < s.nodes.size(); ++node)
-            for (const char* id : {"req-2", "req-3"}) {
+            for (const char* id : {"req-2", "req-3", "req-4"}) {
                 auto reply = s.ask_node(node, "GET", std::string("/v2/runs/") + id, "");
                 ASSERT_TRUE(reply);
                 if (reply->status == 503) continue;
                 ASSERT_EQ(reply->status, 200) << id;
                 auto state = json::parse(reply->body).at("status").as_string();
-                if (std::string(id) == "req-3") {
+                if (std::string(id) == "req-4" && next_told) {
+                    EXPECT_EQ(state, "aborted") << node;
+                } else if (std::string(id) != "req-2") {
                     EXPECT_TRUE(known(std::string(state))) << state;
                 } else if (told) {
                     EXPECT_EQ(state, "aborted") << node;
@@ -284,6 +287,9 @@
     look();
     told = s.cancel_at((old.back() - '0' + 1) % 3, "req-2") == "aborted" || told;
     EXPECT_TRUE(told);
+    s.next_leader_after(old);
+    next_told = s.cancel_at(s.leading(), "req-4") == "aborted";
+    EXPECT_TRUE(next_told);
     look();
     s.state->down = true;
     for (int i = 0; i < 5; ++i) look();
@@ -291,8 +297,10 @@
     s.state->end_outage();
     s.state->refused.clear();
     for (int i = 0; i < 5; ++i) look();
-    EXPECT_EQ(s.status("req-2"), "aborted");
-    EXPECT_TRUE(s.until([&] { return !s.cloud->on_some_machine("req-2"); }));
+    for (const char* id : {"req-2", "req-4"}) {
+        EXPECT_EQ(s.status(id), "aborted") << id;
+        EXPECT_TRUE(s.until([&] { return !s.cloud->on_some_machine(id); })) << id;
+    }
     s.expect_no_rule_broken();
 }
 
