--- a/bench/meetings.py
+++ b/bench/meetings.py
@@ -295,6 +295,31 @@
         return json.load(f)
 
 
+class Played:
+    """Plays `days` (a label and a file each), several at once: iterates over label, file and report of those that were
+    played, in order; tells of the others, and counts them in `lost`."""
+
+    def __init__(self, bench, args, log, work, days):
+        self.bench, self.args, self.log, self.work, self.days, self.lost = bench, args, log, work, days, 0
+
+    def __iter__(self):
+        with concurrent.futures.ThreadPoolExecutor(max_workers=max(1, self.args.jobs)) as pool:
+            results = pool.map(
+                lambda d: play(self.bench, self.args.site, d[1], self.log, str(self.work)), self.days)
+            for (label, file), report in zip(self.days, results):
+                if "error" in report:
+                    print(f"{label} {file.stem}: {report['error']}", flush=True)
+                    self.lost += 1
+                else:
+                    yield label, file, report
+
+
+def work_folder(args):
+    work = pathlib.Path(args.days or tempfile.mkdtemp(prefix="meetings-"))
+    work.mkdir(parents=True, exist_ok=True)
+    return work
+
+
 # ---- the gap: the operators' day, and what may be beside it ----
 
 REFUSED_S, AT_S, SMALL_JOBS = 14.0, 70.0, 6
@@ -367,42 +392,36 @@
 
 
 def gaps(bench, args, site):
-    work = pathlib.Path(args.days or tempfile.mkdtemp(prefix="gaps-"))
-    work.mkdir(parents=True, exist_ok=True)
+    work = work_folder(args)
     first, last = seeds_of(args)
     runs = []
     for name, day in gap_days(site, args.share):
         for seed in range(first, last + 1):
             file = work / f"{site.name}-gap-{name}-{seed}.toml"
             file.write_text(toml_day({**day, "seed": seed}), encoding="utf-8")
-            after = next(f["at_s"] for f in day["faults"] if f["kind"] == "state_outage")
-            runs.append((name, seed, file, after))
-    bad, lost, table = 0, 0, {}
-    with concurrent.futures.ThreadPoolExecutor(max_workers=max(1, args.jobs)) as pool:
-        results = pool.map(lambda r: play(bench, args.site, r[2], "debug", str(work)), runs)
-        for (name, seed, file, after), report in zip(runs, results):
-            if "error" in report:
-                print(f"{name} {seed}: {report['error']}", flush=True)
-                lost += 1
-                continue
-            rules = report["rules_broken"]
-            led, told, longest, left = meeting_in((work / (file.stem + ".log")).read_bytes(), AT_S, after)
-            bad += rules["total"] > 0
-            row = table.setdefault(name, [0, 0, 0, 0.0, 0, 0])
-            row[0] += 1
-            row[1] += led
-            row[2] += told > 0
-            row[3] = max(row[3], longest)
-            row[4] += rules["total"] > 0
-            row[5] += left
-            if rules["total"]:
-                print(f"BROKEN {name} {seed}: {rules['by_kind']} {rules['first'][:2]}", flush=True)
-            (work / (file.stem + ".log")).unlink()
+            down_at = next(f["at_s"] for f in day["faults"] if f["kind"] == "state_outage")
+            runs.append(((name, seed, down_at), file))
+    bad, table = 0, {}
+    played = Played(bench, args, "debug", work, runs)
+    for (name, seed, down_at), file, report in played:
+        rules = report["rules_broken"]
+        led, told, longest, left = meeting_in((work / (file.stem + ".log")).read_bytes(), AT_S, down_at)
+        bad += rules["total"] > 0
+        row = table.setdefault(name, [0, 0, 0, 0.0, 0, 0])
+        row[0] += 1
+        row[1] += led
+        row[2] += told > 0
+        row[3] = max(row[3], longest)
+        row[4] += rules["total"] > 0
+        row[5] += left
+        if rules["total"]:
+            print(f"BROKEN {name} {seed}: {rules['by_kind']} {rules['first'][:2]}", flush=True)
+        (work / (file.stem + ".log")).unlink()
     print(f"{site.name}: variant, days, another led before the outage, it told cancellations, longest s until none of "
           f"their tasks was left (of {site.cancel_s:g}), days with a rule broken, jobs whose end was not seen")
     for name, row in table.items():
         print(f"  {name:14} {row[0]:3} {row[1]:3} {row[2]:3} {row[3]:7.1f} {row[4]:3} {row[5]:3}")
-    return 3 if lost else 1 if bad else 0
+    return 3 if played.lost else 1 if bad else 0
 
 
 def seeds_of(args):
@@ -450,33 +469,26 @@
         fail(f"no bench at {bench}")
     if args.verb == "gap":
         return gaps(str(bench), args, site)
-    work = pathlib.Path(args.days or tempfile.mkdtemp(prefix="meetings-"))
-    work.mkdir(parents=True, exist_ok=True)
+    work = work_folder(args)
     days = []
     for seed in range(first, last + 1):
         day = drawn(site, seed, args.share)
         file = work / f"{site.name}-{day['name']}.toml"
         file.write_text(toml_day(day), encoding="utf-8")
         days.append((seed, file))
-    bad, thin, lost = 0, 0, 0
-    with concurrent.futures.ThreadPoolExecutor(max_workers=max(1, args.jobs)) as pool:
-        results = pool.map(
-            lambda d: play(str(bench), args.site, d[1], args.log, str(work)), days)
-        for (seed, file), report in zip(days, results):
-            if "error" in report:
-                print(f"{seed} {file.stem}: {report['error']}", flush=True)
-                lost += 1
-                continue
-            rules = report["rules_broken"]
-            served, where = least_served(report)
-            wrong = rules["total"] > 0
-            thin += served < 0.5
-            bad += wrong
-            first_broken = "; ".join(str(x) for x in rules["first"][:2])
-            print(f"{seed} {file.stem}: {'BROKEN ' + json.dumps(rules['by_kind']) + ' ' + first_broken if rules['total'] else 'no rule broken'}"
-                  f", least served {served:.2f} ({where})", flush=True)
-    print(f"{len(days)} days on {site.name}, {bad} with a rule broken, {thin} with under half of a class or team served, {lost} not played; files in {work}")
-    return 3 if lost else 1 if bad else 0
+    bad, thin = 0, 0
+    played = Played(str(bench), args, args.log, work, days)
+    for seed, file, report in played:
+        rules = report["rules_broken"]
+        served, where = least_served(report)
+        wrong = rules["total"] > 0
+        thin += served < 0.5
+        bad += wrong
+        first_broken = "; ".join(str(x) for x in rules["first"][:2])
+        print(f"{seed} {file.stem}: {'BROKEN ' + json.dumps(rules['by_kind']) + ' ' + first_broken if rules['total'] else 'no rule broken'}"
+              f", least served {served:.2f} ({where})", flush=True)
+    print(f"{len(days)} days on {site.name}, {bad} with a rule broken, {thin} with under half of a class or team served, {played.lost} not played; files in {work}")
+    return 3 if played.lost else 1 if bad else 0
 
 
 if __name__ == "__main__":
--- a/src/bookkeeping/tables.cpp
+++ b/src/bookkeeping/tables.cpp
@@ -154,7 +154,9 @@
 }
 
 bool Tables::settled(Index index) const {
-    if (jobs[index]->end_sent) return false;
+    auto& own = *jobs[index];
+    if (own.end_sent || own.cancelled != own.cancel_recorded) return false;
+    if (dependencies_.of(index).empty()) return true;  // asked with every poll: nearly all need no other job
     std::vector<Index> left{index};
     std::set<Index> seen{index};
     for (size_t i = 0; i < left.size(); ++i) {
