--- /dev/null
+++ b/bench/meetings.py
@@ -0,0 +1,363 @@
+#!/usr/bin/env python3
+"""Days on which two or three troubles meet: draws them, plays them on the users' bench, tells what broke.
+
+    bench/meetings.py draw SITE --seed N [--share X] [--out FILE]
+    bench/meetings.py play KITDIR SITE --seeds FIRST:LAST [--share X] [--jobs N] [--days DIR] [--log LEVEL]
+
+A day is drawn from the list of meetings below: its troubles, their offsets (0.1 s to over a worker's lease), which
+controller they hit (the busiest, or any), how many jobs are small, long and cancelled; it ends in quiet, for longer than
+a job may go without an answer. The same seed and site write the same file. `play` prints a line for each day: seed,
+meeting, rules broken, least share served by class and team, jobs whose last polls failed as the bench tells it. Exit
+codes: 0 all well, 1 a rule was broken or a day failed, 2 usage, a wrong site or day file, 3 the bench did not end as it
+should. All figures are of simulated machines. Journal entries are left to be committed as they are.
+"""
+
+import argparse
+import concurrent.futures
+import json
+import pathlib
+import random
+import subprocess
+import sys
+import tempfile
+import tomllib
+
+QUIET_S = 130.0  # after the last trouble: longer than a lease, a cancellation and the 75 s of a forgotten job together
+FEW = 8
+
+
+def fail(text, code=2):
+    print(f"meetings: {text}", file=sys.stderr)
+    raise SystemExit(code)
+
+
+class Site:
+    def __init__(self, path):
+        try:
+            with open(path, "rb") as f:
+                site = tomllib.load(f)
+            self.name = site["name"]
+            self.lease_s = float(site["workers"]["lease_s"])
+            self.cancel_s = float(site["workers"]["cancel_s"])
+            self.nodes = int(site["nodes"]["count"])
+            self.zones = list(site["nodes"]["zones"])
+            self.jobs = site["jobs"]
+            self.room = {k: site.get(k, []) for k in ("capacity", "machines", "teams")}
+            _ = [(j["name"], j["kind"], j["arrivals"]["rate"], j["run_s"]["median"]) for j in self.jobs]
+        except (OSError, tomllib.TOMLDecodeError, KeyError, TypeError, ValueError, UnicodeDecodeError) as e:
+            fail(f"{path}: not a site file: {type(e).__name__}: {e}")
+        if self.lease_s <= 0 or self.nodes < 1 or not self.jobs:
+            fail(f"{path}: not a site file: no jobs, no controllers or no lease")
+
+
+class Draw:
+    """One drawn day. Times in seconds."""
+
+    def __init__(self, site, seed):
+        self.site, self.random, self.faults = site, random.Random(f"{site.name} {seed}"), []
+        self.seed = seed
+
+    def between(self, low, high):
+        return round(self.random.uniform(low, high), 1)
+
+    # Offsets cluster near nothing, near a leader's lease, and reach over a worker's.
+    def offset(self):
+        return self.random.choice(
+            [
+                self.between(0.1, 1.0),
+                self.between(1.0, 5.0),
+                self.between(5.0, 15.0),
+                self.between(15.0, 1.2 * self.site.lease_s),
+            ]
+        )
+
+    def add(self, at, kind, **fields):
+        self.faults.append({"at_s": round(at, 1), "kind": kind, **fields})
+
+    def one(self):
+        return {"count": 1, "busiest": self.random.random() < 0.75}
+
+    def cut(self, at, for_s, mode=None, **what):
+        # A refusal is the state service's own; any other link is held or reset.
+        modes = ["hold", "reset"] + (["refuse", "refuse"] if set(what) == {"from_state"} else [])
+        mode = mode or self.random.choice(modes)
+        self.add(at, "node_cut", **self.one(), **what, mode=mode, for_s=for_s)
+
+    # ---- the meetings ----
+
+    def gap(self, at):
+        """the leader alone is refused, then all are, for longer than a cancellation may take"""
+        first = self.between(1.0, 12.0)
+        down = self.between(0.7, 1.3) * self.site.cancel_s
+        self.cut(at, first + self.between(5.0, 25.0), self.random.choice(["refuse", "refuse", "hold"]),
+                 from_state=True, **({"from_peers": True} if self.random.random() < 0.3 else {}))
+        self.add(at + first, "state_outage", for_s=round(down, 1))
+        if self.random.random() < 0.4:
+            self.random.choice([self.crash, self.freeze])(at + first + self.offset())
+        return first + down
+
+    def hand_over_and_back(self, at):
+        """controllers hand over and back, all end, one returns at once"""
+        t = at
+        for _ in range(self.random.randint(2, 4)):
+            self.add(t, "node_crash", count=self.random.randint(1, self.site.nodes), busiest=True)
+            t += self.between(0.1, 7.0)
+        if self.random.random() < 0.5:
+            self.add(t, "peers_refuse", for_s=self.between(5.0, 40.0))
+            self.cut(t + self.offset(), self.between(5.0, 40.0), from_workers=True)
+        return t - at + 60
+
+    def late_writes(self, at):
+        """transactions without an answer, carried out late, as leaders end"""
+        for_s = self.between(20.0, 80.0)
+        self.add(at, "late_writes", share=self.random.choice([0.1, 0.3, 0.6, 1.0]), for_s=for_s)
+        for _ in range(self.random.randint(1, 3)):
+            self.random.choice([self.crash, self.cut_state, self.freeze])(at + self.between(0.1, for_s))
+        return for_s + 20
+
+    def out_of_reach(self, at):
+        """a leader ends while machines can't be reached, or don't hear the next one"""
+        for_s = self.between(10.0, 1.6 * self.site.lease_s)
+        kind = self.random.choice(["machine_deaf", "machine_deaf", "machine_cut", "machine_hang"])
+        count = self.random.randint(3, 40)
+        extra = {"mode": self.random.choice(["hold", "reset"])} if kind == "machine_cut" else {}
+        self.add(at, kind, count=count, for_s=for_s, **extra)
+        end = at + self.offset()
+        self.random.choice([self.crash, self.cut_state, self.freeze])(end)
+        if self.random.random() < 0.5:
+            self.crash(end + self.offset())
+        return max(for_s, end - at + 50)
+
+    def slow_then_gone(self, at):
+        """the state service answers slowly, refuses one, then all"""
+        slow = self.between(10.0, 40.0)
+        self.add(at, "state_slow", factor=self.random.choice([20.0, 60.0, 120.0, 220.0]), for_s=slow)
+        self.cut(at + self.between(0.1, slow), self.between(4.0, 30.0), "refuse", from_state=True)
+        down = self.between(5.0, 1.2 * self.site.cancel_s)
+        self.add(at + slow + self.offset() / 4, "state_outage", for_s=down)
+        return slow + down + 20
+
+    def late_reports(self, at):
+        """old reports after newer ones, as leaders and sessions change"""
+        for_s = self.between(40.0, 90.0)
+        self.add(at, "late_reports", share=self.random.choice([0.1, 0.4, 1.0]), for_s=for_s)
+        for _ in range(self.random.randint(1, 3)):
+            self.random.choice([self.crash, self.cut_state, self.machines])(at + self.between(0.1, for_s))
+        return for_s + self.site.lease_s
+
+    def alone(self, at):
+        """a leader is cut from the state service and its peers, not from workers and users"""
+        for_s = self.between(8.0, 1.5 * self.site.cancel_s)
+        self.cut(at, for_s, from_state=True, from_peers=True)
+        for _ in range(self.random.randint(0, 2)):
+            self.random.choice([self.crash, self.outage, self.machines, self.freeze])(at + self.offset())
+        return max(for_s, 60.0)
+
+    def held_commands(self, at):
+        """commands and answers are held up, and the machine goes on"""
+        for_s = self.between(2.0, 0.9 * self.site.lease_s)
+        self.add(at, "machine_cut", count=self.random.randint(5, 60), mode="hold", for_s=for_s)
+        self.random.choice([self.crash, self.hang, self.cut_state])(at + self.between(0.1, for_s))
+        self.cut(at + self.offset(), self.between(3.0, 20.0), "hold", from_workers=True)
+        return for_s + 50
+
+    # ---- single troubles ----
+
+    def crash(self, at):
+        self.add(at, "node_crash", count=self.random.randint(1, self.site.nodes), busiest=self.random.random() < 0.75)
+
+    def freeze(self, at):
+        self.add(at, "node_freeze", **self.one(), for_s=self.between(2.0, 30.0))
+
+    def cut_state(self, at):
+        self.cut(at, self.between(3.0, 40.0), from_state=True)
+
+    def outage(self, at):
+        self.add(at, "state_outage", for_s=self.between(3.0, 1.3 * self.site.cancel_s))
+
+    def hang(self, at):
+        self.add(at, "machine_hang", count=self.random.randint(3, 40), for_s=self.between(2.0, 1.3 * self.site.lease_s))
+
+    def machines(self, at):
+        kind = self.random.choice(["machine_deaf", "machine_hang", "machine_cut"])
+        extra = {"mode": "hold"} if kind == "machine_cut" else {}
+        self.add(at, kind, count=self.random.randint(3, 40), for_s=self.between(2.0, 1.5 * self.site.lease_s), **extra)
+
+
+MEETINGS = [
+    Draw.gap,
+    Draw.hand_over_and_back,
+    Draw.late_writes,
+    Draw.out_of_reach,
+    Draw.slow_then_gone,
+    Draw.late_reports,
+    Draw.alone,
+    Draw.held_commands,
+]
+
+
+# The day at a share of the site's size: machines, limits and jobs.
+def scaled(site, share):
+    def smaller(row, *fields):
+        return {**row, **{f: type(row[f])(max(1, round(row[f] * share))) for f in fields if row.get(f)}}
+
+    return {
+        "capacity": [smaller(c, "count", "spot") for c in site.room["capacity"]],
+        "machines": [smaller(m, "count") for m in site.room["machines"]],
+        "teams": [smaller(t, "cpus", "cpus_max", "gpus", "gpus_max") for t in site.room["teams"]],
+    }
+
+
+def drawn(site, seed, share=1.0):
+    d = Draw(site, seed)
+    first = MEETINGS[seed % len(MEETINGS)]
+    at = d.between(60.0, 110.0)
+    end = at + first(d, at)
+    if d.random.random() < 0.35:
+        second = d.random.choice(MEETINGS)
+        end = max(end, at + second(d, at + d.offset()) + 30)
+    jobs = []
+    cancelled = d.random.choice([0.1, 0.3, 0.6, 0.8])
+    for j in site.jobs:
+        job = {"name": j["name"], "cancelled": cancelled}
+        rate = j["arrivals"]["rate"] * share
+        if d.random.random() < 0.6:
+            median = d.between(15.0, 180.0)
+            job["run_s"] = {"median": median, "p95": round(median * 1.3, 1), "max": round(median * 1.5, 1)}
+            rate *= min(1.0, j["run_s"]["median"] / median)  # no more work than on the site's own days
+        if j["kind"] == "array" and d.random.random() < 0.6:
+            job["tasks"] = {"median": 2.0, "p95": 3.0, "max": 3.0}
+        job["arrivals"] = {**j["arrivals"], "rate": round(rate, 4)}
+        job["initial"] = round(j.get("initial", 0) * rate / j["arrivals"]["rate"])
+        jobs.append(job)
+    for f in d.faults:
+        end = max(end, f["at_s"] + f.get("for_s", 0.0))
+    day = {
+        "name": f"meet-{first.__name__.replace('_', '-')}-{seed}",
+        "seed": 7000 + seed,
+        "duration_s": round(end + QUIET_S, 1),
+        # A third of the days: processes are back within a fraction of a second.
+        **({"nodes": {"restart_delay_s": d.between(0.1, 0.9)}} if d.random.random() < 0.33 else {}),
+        "jobs": jobs,
+        "faults": sorted(d.faults, key=lambda f: f["at_s"]),
+    }
+    return day if share == 1 else {**day, **scaled(site, share)}
+
+
+def toml_value(v):
+    if isinstance(v, bool):
+        return "true" if v else "false"
+    if isinstance(v, (int, float)):
+        return repr(v)
+    if isinstance(v, str):
+        return json.dumps(v)
+    if isinstance(v, (list, tuple)):
+        return "[" + ", ".join(toml_value(x) for x in v) + "]"
+    return "{ " + ", ".join(f"{k} = {toml_value(x)}" for k, x in v.items()) + " }"
+
+
+def toml_day(day):
+    lines = []
+    for k, v in day.items():
+        if isinstance(v, list) and v and isinstance(v[0], dict):
+            lines += [f"{k} = ["] + [f"  {toml_value(x)}," for x in v] + ["]"]
+        else:
+            lines.append(f"{k} = {toml_value(v)}")
+    return "\n".join(lines) + "\n"
+
+
+def least_served(report):
+    """The least share served of any class or team, cancelled jobs aside; and where. A handful of jobs tells nothing."""
+    shares = [(1.0, "all")]
+    for name, c in report.get("classes", {}).items():
+        if (of := c["jobs"] - c["cancelled"]) >= FEW:
+            shares.append((min(1.0, c["done"] / of), name))
+    for name, t in report.get("teams", {}).items():
+        if t["jobs"] >= FEW:
+            shares.append((t["started"] / t["jobs"], "team " + name))
+    return min(shares)
+
+
+def play(bench, site_file, day_file, log, work):
+    report = pathlib.Path(work) / (day_file.stem + ".json")
+    out = pathlib.Path(work) / (day_file.stem + ".log")
+    call = [bench, "run", site_file, str(day_file), "--report", str(report), "--no-cpu"]
+    call += ["--why", f"a drawn meeting of troubles ({day_file.stem}): no rule breaks"]
+    if log:
+        call += ["--log", log]
+    with open(out, "wb") as f:
+        code = subprocess.run(call, stdout=f, stderr=subprocess.STDOUT, check=False).returncode
+    if not report.exists():
+        return {"error": f"the bench ended with {code} and left no report, see {out}"}
+    with open(report, encoding="utf-8") as f:
+        return json.load(f)
+
+
+def main():
+    parser = argparse.ArgumentParser(prog="meetings.py", description=__doc__.split("\n")[0])
+    verbs = parser.add_subparsers(dest="verb", required=True)
+    draw = verbs.add_parser("draw")
+    draw.add_argument("site")
+    draw.add_argument("--seed", type=int, required=True)
+    draw.add_argument("--out")
+    run = verbs.add_parser("play")
+    run.add_argument("kit")
+    run.add_argument("site")
+    run.add_argument("--seeds", required=True, help="FIRST:LAST, the last one included")
+    for verb in (draw, run):
+        verb.add_argument("--share", type=float, default=1.0, help="of the site's machines and jobs, 0.01 to 2")
+    run.add_argument("--jobs", type=int, default=8)
+    run.add_argument("--days", help="where days, reports and logs are kept (default: a new folder)")
+    run.add_argument("--log", choices=["error", "info", "debug"])
+    args = parser.parse_args()
+    if not 0.01 <= args.share <= 2:
+        fail(f"--share {args.share}: not between 0.01 and 2")
+    site = Site(args.site)
+    if args.verb == "draw":
+        text = toml_day(drawn(site, args.seed, args.share))
+        if not args.out:
+            print(text, end="")
+            return 0
+        try:
+            pathlib.Path(args.out).write_text(text, encoding="utf-8")
+        except OSError as e:
+            fail(f"{args.out}: {e.strerror}")
+        return 0
+    try:
+        first, last = (int(x) for x in args.seeds.split(":"))
+    except ValueError:
+        fail(f"--seeds {args.seeds}: not FIRST:LAST")
+    bench = pathlib.Path(args.kit) / "more/hunt/bin/fleetbench"
+    if not bench.exists():
+        fail(f"no bench at {bench}")
+    work = pathlib.Path(args.days or tempfile.mkdtemp(prefix="meetings-"))
+    work.mkdir(parents=True, exist_ok=True)
+    days = []
+    for seed in range(first, last + 1):
+        day = drawn(site, seed, args.share)
+        file = work / f"{site.name}-{day['name']}.toml"
+        file.write_text(toml_day(day), encoding="utf-8")
+        days.append((seed, file))
+    bad, thin, lost = 0, 0, 0
+    with concurrent.futures.ThreadPoolExecutor(max_workers=max(1, args.jobs)) as pool:
+        results = pool.map(
+            lambda d: play(str(bench), args.site, d[1], args.log, str(work)), days)
+        for (seed, file), report in zip(days, results):
+            if "error" in report:
+                print(f"{seed} {file.stem}: {report['error']}", flush=True)
+                lost += 1
+                continue
+            rules = report["rules_broken"]
+            served, where = least_served(report)
+            wrong = rules["total"] > 0
+            thin += served < 0.5
+            bad += wrong
+            first_broken = "; ".join(str(x) for x in rules["first"][:2])
+            print(f"{seed} {file.stem}: {'BROKEN ' + json.dumps(rules['by_kind']) + ' ' + first_broken if rules['total'] else 'no rule broken'}"
+                  f", least served {served:.2f} ({where})", flush=True)
+    print(f"{len(days)} days on {site.name}, {bad} with a rule broken, {thin} with under half of a class or team served, {lost} not played; files in {work}")
+    return 3 if lost else 1 if bad else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
