--- a/src/coordination/leader_records.cpp
+++ b/src/coordination/leader_records.cpp
@@ -138,6 +138,7 @@
                 for (auto d : tables_.cancel_dependants(e.job))
                     if (tables_.jobs[d]->version != 0)
                         ledger_.cancel(d);  // a new one's record says so itself
+                spdlog::debug("job: {} cancellation recorded, {} tasks placed", job.spec.id, job.placed);
                 answer_waiters(job.spec.id, job_reply(job, PeerOp::Cancel, 200));
                 check_job(e.job);
                 check_cancelled(tables_.dependencies().of(e.job));
--- a/src/coordination/leader_tasks.cpp
+++ b/src/coordination/leader_tasks.cpp
@@ -115,7 +115,9 @@
         for (uint32_t t = 0; t < job.tasks.size(); ++t)
             if (job.tasks[t].state == TaskState::Placed && (!job.tasks[t].stopping || job.tasks[t].graceful))
                 stop_task(j, t, false);
-        if (job.placed > 0 || !tables_.cancellation_logged(j)) return;
+        if (job.placed > 0) return;
+        spdlog::debug("job: {} cancelled, none of its tasks is left", job.spec.id);
+        if (!tables_.cancellation_logged(j)) return;
     } else if (job.done < job.tasks.size()) {
         // A gang found half placed after a change of leader, or half gone.
         if (job.spec.kind == JobKind::Gang && job.placed > 0 && job.pending > 0 && !job.gang_ending)
--- a/src/doors/door.cpp
+++ b/src/doors/door.cpp
@@ -340,7 +340,10 @@
         auto seen = co_await look(id, false);
         if (!seen) break;
         auto reply = door_reply(id, seen->standing, PeerOp::Cancel);
-        if (reply.status == 200) co_return reply;
+        if (reply.status == 200) {
+            spdlog::debug("door: {} told as cancelled, or as ended", id);
+            co_return reply;
+        }
         co_await sleep_s(kLook_s);
     }
     co_return come_back();
