--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -71,10 +71,13 @@
 // versions without them read the rest.
 namespace {
 
+// A cancellation that was asked for goes into every record that is written from then on: its own entry may stand in front
+// of the job told anew, by the same transaction even, and is passed over once the segments with the job's first record
+// are gone. A job whose user had been told that it is cancelled was once brought back so.
 json::object job_head(const Job& job) {
     json::object o{{"at", job.submitted}};
     if (job.ready > 0) o["ready"] = job.ready;
-    if (job.cancel_recorded) o["cancelled"] = true;
+    if (job.cancelled) o["cancelled"] = true;
     return o;
 }
 
@@ -289,9 +292,9 @@
         }
         finishes_.pop_front();
         condition(final_key(job.spec.id), 0);
-        change(final_key(job.spec.id),
-               final_record(job.cancelled ? JobState::Cancelled : JobState::Done, job.done));
-        b.entries.push_back({EntryKind::Finish, index, {}});
+        FinalState ended{job.cancelled ? JobState::Cancelled : JobState::Done, job.done};
+        change(final_key(job.spec.id), final_record(ended.state, ended.done));
+        b.entries.push_back({EntryKind::Finish, index, {}, false, 0, ended});
     }
     tell_tasks(s, b);
     retell(s, b);
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -57,6 +57,7 @@
     std::string key;         // Note, Forget (empty: not to be tried again)
     bool cancelled = false;  // NewJob: recorded as cancelled
     uint64_t version = 0;    // Forget: of the door record
+    FinalState ended{};      // Finish: as it is written, and so to be told
 };
 struct LedgerBatch {
     StateTxn txn;
--- a/src/coordination/leader_records.cpp
+++ b/src/coordination/leader_records.cpp
@@ -144,10 +144,9 @@
                 check_cancelled(tables_.dependencies().of(e.job));
             } else if (e.kind == EntryKind::Finish) {
                 auto& job = *tables_.jobs[e.job];
-                FinalState f{job.cancelled ? JobState::Cancelled : JobState::Done, job.done};
                 auto id = job.spec.id;
-                remember_final(id, f);
-                answer_waiters(id, final_reply(id, f, PeerOp::Cancel));
+                remember_final(id, e.ended);
+                answer_waiters(id, final_reply(id, e.ended, PeerOp::Cancel));
                 auto on = tables_.dependencies().of(e.job);
                 auto dependants = tables_.dependencies().dependants(e.job);
                 tables_.remove_job(e.job, now_);
@@ -157,7 +156,7 @@
                         spdlog::debug("job: {} ready", tables_.jobs[d]->spec.id);
                 }
                 check_cancelled(on);
-                spdlog::debug("job: {} {}", id, f.state == JobState::Done ? "done" : "cancelled");
+                spdlog::debug("job: {} {}", id, e.ended.state == JobState::Done ? "done" : "cancelled");
             } else if (e.kind == EntryKind::Forget) {
                 forgotten(e);
             }
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -5,6 +5,7 @@
 #include "bookkeeping/state_client.h"
 #include "coordination/election.h"
 #include "coordination/placement.h"
+#include "doors/log_view.h"
 #include "fixtures.h"
 #include "store.h"
 
@@ -162,6 +163,77 @@
     }
 }
 
+// A job told anew in the transaction that records its cancellation stood behind that entry without it: once the segments
+// with its first record were dropped, a new leader, or a door that read the log from its start, took the entry for one of
+// an ended job, and called a job running again whose user had been told that it is cancelled.
+TEST(Ledger, ACancellationThatWasRecordedIsReadByEverybodyFromThenOn) {
+    constexpr LedgerLimits limits{12, 1};
+    for (size_t types : {0, 20}) {  // long lists of types: such a record takes several entries
+        size_t told = 0, kept = 0;
+        for (unsigned seed = 1; seed <= 40; ++seed) {
+            std::mt19937 random(seed);
+            auto below = [&](size_t n) { return static_cast<uint32_t>(random() % n); };
+            World w;
+            Store store;
+            Ledger ledger(w.tables, 41, limits);
+            ledger.allow_pieces();
+            auto machine = w.machine("vm-000001");
+            std::map<std::string, Index> cancelled;  // recorded, and so it may have been told
+            int jobs = 0;
+            for (int step = 0; step < 500; ++step) {
+                if (w.tables.job_index.size() < 6) {
+                    auto spec = w.spec("req-" + std::to_string(++jobs), JobKind::Array, 3, 0.01);
+                    for (size_t n = 0; n < types; ++n)
+                        spec.types.push_back(w.tables.names.types.intern(std::string(90, 't') + std::to_string(n)));
+                    ledger.new_job(w.tables.add_job(std::move(spec), 1000, w.now));
+                }
+                // Tasks come and go for longer than the log keeps a segment; those of a cancelled job for a while.
+                for (Index j = 0; j < w.tables.jobs.size(); ++j) {
+                    auto* job = w.tables.jobs[j].get();
+                    if (!job || job->version == 0 || job->ending) continue;
+                    auto t = below(3);
+                    if (job->tasks[t].state == TaskState::Placed && below(job->cancelled ? 10 : 2) == 0)
+                        w.tables.vacate(j, t, w.now);
+                    else if (job->tasks[t].state == TaskState::Pending && !job->cancelled)
+                        w.tables.place(j, t, machine, job->tasks[t].attempt + 1, w.now);
+                    if (!job->cancelled && below(80) == 0) {
+                        job->cancelled = true;
+                        ledger.cancel(j);
+                    }
+                    if (job->cancel_recorded && job->placed == 0) {
+                        job->ending = true;
+                        ledger.finish(j);
+                    }
+                }
+                auto b = ledger.next(2 + static_cast<int>(below(11)));
+                if (b.empty()) continue;
+                auto revision = store.apply(b.txn);
+                ASSERT_NE(revision, 0u);
+                ledger.committed(b, revision);
+                for (auto& e : b.entries) {
+                    auto id = e.job == kNone ? "" : w.tables.jobs[e.job]->spec.id;
+                    if (e.kind == EntryKind::Cancel) cancelled.emplace(id, e.job), ++told;
+                    if (e.kind == EntryKind::Finish) cancelled.erase(id), w.tables.remove_job(e.job, w.now);
+                }
+                if (cancelled.empty()) continue;
+                World fresh;
+                Ledger loaded(fresh.tables, 42, limits);
+                store.load(loaded, fresh.now);
+                LogView view;
+                ASSERT_TRUE(view.take(store.log(), true));
+                for (auto& [id, j] : cancelled) {
+                    auto* job = fresh.tables.find_job(id);
+                    ASSERT_TRUE(job && job->cancel_recorded) << types << " types, " << id << " at a new leader, seed " << seed;
+                    ASSERT_TRUE(view.cancelled(id)) << types << " types, " << id << " at a door, seed " << seed;
+                    ++kept;
+                }
+            }
+        }
+        EXPECT_GT(told, 500u) << types;
+        EXPECT_GT(kept, 5000u) << types;
+    }
+}
+
 TEST(Ledger, RefusesRecordsThatMakeNoSense) {
     for (const char* value :
          {"{}", R"([1])", R"([["t"]])", R"([["x","req-1"]])", R"([["t",1]])", R"([["t","req-1",7]])",
--- a/tests/store.h
+++ b/tests/store.h
@@ -32,6 +32,12 @@
         for (auto& [key, value] : keys) n += key.starts_with(kSegments);
         return n;
     }
+    StatePage log() const {
+        StatePage page;
+        for (auto& [key, value] : keys)
+            if (key.starts_with(kSegments)) page.items.push_back({key, boost::json::parse(value.first), value.second, 0});
+        return page;
+    }
     void load(Ledger& ledger, double now) const {
         ledger.clear();
         auto item = [](auto& k) {
