--- a/bench/meetings.py
+++ b/bench/meetings.py
@@ -4,12 +4,14 @@
     bench/meetings.py draw SITE --seed N [--share X] [--out FILE]
     bench/meetings.py gap KITDIR SITE --seeds FIRST:LAST [--share X] [--jobs N] [--days DIR]
     bench/meetings.py play KITDIR SITE --seeds FIRST:LAST [--share X] [--jobs N] [--days DIR] [--log LEVEL]
+    bench/meetings.py pairs KITDIR SITE --seeds FIRST:LAST [--share X] [--jobs N] [--days DIR] [--log LEVEL]
 
 A day is drawn from the list of meetings below: its troubles, their offsets (0.1 s to over a worker's lease), which
 controller they hit (the busiest, or any), how many jobs are small, long and cancelled; it ends in quiet, for longer than
 a job may go without an answer. The same seed and site write the same file. `play` prints a line for each day: seed,
 meeting, rules broken (a forgotten job is one), least share served by class and team. `gap` plays the operators' gap day
-in variants, each with all seeds, and tells from the logs on how many of them the meeting came about. Exit codes: 0 all well, 1 a rule was broken or a day failed, 2 usage, a wrong site or day file, 3 the bench did not end as it
+in variants, each with all seeds, and tells from the logs on how many of them the meeting came about. `pairs` plays each of
+the newer troubles alone and each two of them at once, on short days of many one-task jobs. Exit codes: 0 all well, 1 a rule was broken or a day failed, 2 usage, a wrong site or day file, 3 the bench did not end as it
 should. All figures are of simulated machines. Journal entries are left to be committed as they are.
 """
 
@@ -58,6 +60,8 @@
     def __init__(self, site, seed):
         self.site, self.random, self.faults = site, random.Random(f"{site.name} {seed}"), []
         self.seed = seed
+        self.small = False  # one-task jobs, four a second, a quarter of them cancelled
+        self.crowded = False  # more work than room
 
     def between(self, low, high):
         return round(self.random.uniform(low, high), 1)
@@ -163,8 +167,132 @@
         self.cut(at + self.offset(), self.between(3.0, 20.0), "hold", from_workers=True)
         return for_s + 50
 
+    def zone_away(self, at):
+        """a zone with workers and a controller is cut off for longer than a worker's lease"""
+        for_s = self.between(1.05, 1.8) * self.site.lease_s
+        if len(self.site.zones) > 1:
+            self.add(at, "zone_cut", zone=self.random.choice(self.site.zones), mode=self.random.choice(["hold", "reset"]),
+                     for_s=round(for_s, 1))
+        else:  # one zone alone: a part of its machines and a controller
+            self.add(at, "machine_cut", share=0.3, mode="hold", for_s=round(for_s, 1))
+            self.cut(at, round(for_s, 1), "hold", from_state=True, from_peers=True)
+        self.random.choice([self.crash, self.cut_state, self.cancels])(at + self.offset())
+        return for_s
+
+    def ten_leaders(self, at):
+        """leaders change ten times in two minutes, also inside an outage"""
+        t = at
+        for _ in range(10):
+            self.random.choice([self.crash_one, self.crash_one, self.freeze])(t)
+            t += self.between(6.0, 14.0)
+        if self.random.random() < 0.5:
+            self.outage(at + self.between(20.0, 60.0))
+        return t - at
+
+    def kept_reports(self, at):
+        """a report is held until a new leader has acted, or reaches every controller just as one begins"""
+        for_s = self.between(30.0, 80.0)
+        self.add(at, "late_reports", share=self.random.choice([0.2, 0.5, 1.0]), for_s=for_s, for_next=True)
+        for _ in range(self.random.randint(1, 3)):
+            self.random.choice([self.crash_one, self.cut_state, self.freeze])(at + self.between(0.1, for_s))
+        return for_s + self.site.lease_s
+
+    def at_the_limit(self, at):
+        """teams are at their limits as the leader changes, machines can't be asked or hang, and jobs are cancelled"""
+        self.crowded = True
+        self.random.choice([self.machines, self.mute, self.hang])(at)
+        self.cancels(at + self.between(0.1, 4.0))
+        self.crash_one(at + self.between(0.1, 6.0))
+        self.cancels(at + self.between(4.0, 15.0))
+        return 1.5 * self.site.lease_s
+
+    def up_at_once(self, at):
+        """new machines are up within two seconds and get work while writes lag, and the leader ends"""
+        for_s = self.between(40.0, 80.0)
+        self.crowded = True
+        self.add(at, "boot_trouble", fail=0.0, factor=0.05, for_s=for_s)
+        self.late_answers(at)
+        for _ in range(self.random.randint(1, 2)):
+            self.crash_one(at + self.between(3.0, for_s))
+        return for_s + 20
+
+    def refused_then_gone(self, at):
+        """jobs are cancelled as the state service refuses the leader alone; a second later it is out for all"""
+        self.cut(at, self.between(4.0, 20.0), "refuse", from_state=True)
+        self.add(at + self.between(-0.3, 0.9), "cancel_now", count=self.random.randint(4, 24))
+        down = self.between(1.02, 1.3) * self.site.cancel_s
+        self.add(at + self.between(0.8, 1.2), "state_outage", for_s=round(down, 1))
+        return down
+
+    def hung_cancelled(self, at):
+        """jobs are cancelled whose machines hang, and go on; one controller's work may change hands"""
+        for _ in range(self.random.randint(1, 3)):
+            self.add(at, "cancel_now", count=self.random.randint(4, 16), hang_s=self.between(2.0, 1.3 * self.site.cancel_s))
+            if self.random.random() < 0.6:
+                self.random.choice([self.crash_one, self.cut_state, self.freeze])(at + self.between(-1.0, 3.0))
+            at += self.between(3.0, 20.0)
+        return 1.3 * self.site.cancel_s + 60
+
+    def ends_and_looks(self, at):
+        """a cancellation, a question or a repeated submission meets the end of a last task; users look everywhere"""
+        for_s = self.between(40.0, 90.0)
+        self.small = True
+        self.add(at, "cancel_at_end", share=self.random.choice([0.3, 0.6, 1.0]), for_s=for_s)
+        self.add(at, "close_looks", for_s=for_s)
+        if self.random.random() < 0.6:
+            self.add(at, "odd_requests", for_s=for_s)
+        if self.random.random() < 0.7:
+            self.random.choice([self.late_answers, self.crash_one, self.cut_state, self.freeze, self.alone, self.slow,
+                                self.refusals])(at + self.between(1.0, for_s / 2))
+        return for_s + 30
+
+    def mute_machines(self, at):
+        """workers can't open connections to any controller, while commands reach them"""
+        self.mute(at)
+        self.cancels(at + self.between(0.5, 20.0))
+        if self.random.random() < 0.6:
+            self.random.choice([self.crash_one, self.cut_state])(at + self.offset())
+        return 1.5 * self.site.lease_s + 20
+
+    def all_away(self, at):
+        """all controllers are away for longer than a worker's lease"""
+        for_s = round(self.between(1.02, 1.5) * self.site.lease_s, 1)
+        self.add(at, "node_freeze", count=self.site.nodes, busiest=True, for_s=for_s)
+        if self.random.random() < 0.5:
+            self.add(at + for_s + self.between(0.1, 3.0), "late_reports", share=0.5, for_s=20.0)
+        return for_s
+
+    def hands_change(self, at):
+        """jobs are cancelled in the seconds in which one controller's work changes hands"""
+        for _ in range(self.random.randint(2, 4)):
+            self.random.choice([self.crash_one, self.cut_state, self.freeze, self.alone])(at)
+            for _ in range(2):
+                self.cancels(at + self.between(0.0, 4.0))
+            at += self.between(8.0, 20.0)
+        return 60.0
+
     # ---- single troubles ----
 
+    def crash_one(self, at):
+        self.add(at, "node_crash", count=1, busiest=True)
+
+    def cancels(self, at):
+        self.add(at, "cancel_now", count=self.random.randint(4, 24),
+                 **({"hang_s": self.between(2.0, self.site.cancel_s)} if self.random.random() < 0.3 else {}))
+
+    def mute(self, at):
+        self.add(at, "machine_mute", count=self.random.randint(3, 40), for_s=self.between(2.0, 1.6 * self.site.lease_s))
+
+    def late_answers(self, at):
+        self.add(at, "late_writes", share=self.random.choice([0.2, 0.5, 1.0]), for_s=self.between(10.0, 50.0),
+                 **({"at_once": True} if self.random.random() < 0.7 else {}))
+
+    def slow(self, at):
+        self.add(at, "state_slow", factor=self.random.choice([20.0, 60.0, 120.0]), for_s=self.between(10.0, 40.0))
+
+    def refusals(self, at):
+        self.add(at, "peers_refuse", for_s=self.between(5.0, 40.0))
+
     def crash(self, at):
         self.add(at, "node_crash", count=self.random.randint(1, self.site.nodes), busiest=self.random.random() < 0.75)
 
@@ -195,8 +323,65 @@
     Draw.late_reports,
     Draw.alone,
     Draw.held_commands,
+    Draw.zone_away,
+    Draw.ten_leaders,
+    Draw.kept_reports,
+    Draw.at_the_limit,
+    Draw.up_at_once,
+    Draw.refused_then_gone,
+    Draw.hung_cancelled,
+    Draw.ends_and_looks,
+    Draw.mute_machines,
+    Draw.all_away,
+    Draw.hands_change,
 ]
 
+# The newer troubles, each alone and each two at once on a short day (`pairs`).
+TROUBLES = {
+    "close-looks": ("close_looks", {}),
+    "cancel-at-end": ("cancel_at_end", {"share": 0.6}),
+    "cancel-hang": ("cancel_now", {"count": 12, "hang_s": 30.0}),
+    "odd-requests": ("odd_requests", {}),
+    "mute": ("machine_mute", {"count": 12}),
+    "answer-lost": ("late_writes", {"share": 0.5, "at_once": True}),
+    "kept-reports": ("late_reports", {"share": 0.5, "for_next": True}),
+    "late-writes": ("late_writes", {"share": 0.5}),
+    "leader-ends": ("node_crash", {"count": 1, "busiest": True}),
+    "refused": ("node_cut", {"count": 1, "busiest": True, "from_state": True, "mode": "refuse"}),
+    "peers-refuse": ("peers_refuse", {}),
+}
+LASTS_S, AT_ONCE = 40.0, ("cancel_now", "node_crash")
+
+
+def pair_days(site, share):
+    """Name and day of each: one-task jobs, four a second, a quarter cancelled."""
+    names = list(TROUBLES)
+    for i, a in enumerate(names):
+        for b in names[i:]:
+            faults = []
+            for n, name in enumerate(dict.fromkeys((a, b))):
+                kind, what = TROUBLES[name]
+                times = [60.0, 75.0, 90.0] if kind in AT_ONCE else [60.0]
+                lasts = {} if kind in AT_ONCE else {"for_s": LASTS_S}
+                faults += [{"at_s": t + 2.0 * n, "kind": kind, **what, **lasts} for t in times]
+            name = a if a == b else f"{a}+{b}"
+            yield name, {"name": name, "seed": 1, "duration_s": 60 + LASTS_S + QUIET_S, "jobs": small_jobs(site),
+                         "faults": sorted(faults, key=lambda f: f["at_s"]), **({} if share == 1 else scaled(site, share))}
+
+
+# One-task jobs, four a second for all classes together.
+def small_jobs(site):
+    arrays = [j for j in site.jobs if j["kind"] == "array"] or site.jobs
+    jobs = []
+    for j in site.jobs:
+        if j in arrays:
+            jobs.append({"name": j["name"], "cancelled": 0.25, "tasks": {"median": 1.0, "p95": 1.0, "max": 1.0},
+                         "run_s": {"median": 12.0, "p95": 40.0, "max": 60.0}, "initial": 8,
+                         "arrivals": {**j["arrivals"], "rate": round(4.0 / len(arrays), 4)}})
+        else:
+            jobs.append({"name": j["name"], "arrivals": {**j["arrivals"], "rate": 0.02}, "initial": 1})
+    return jobs
+
 
 # The day at a share of the site's size: machines, limits and jobs.
 def scaled(site, share):
@@ -232,8 +417,13 @@
         job["arrivals"] = {**j["arrivals"], "rate": round(rate, 4)}
         job["initial"] = round(j.get("initial", 0) * rate / j["arrivals"]["rate"])
         jobs.append(job)
+    if d.small:
+        jobs = small_jobs(site)
+    if d.crowded:
+        for j in jobs:
+            j["arrivals"] = {**j["arrivals"], "rate": round(2.5 * j["arrivals"]["rate"], 4)}
     for f in d.faults:
-        end = max(end, f["at_s"] + f.get("for_s", 0.0))
+        end = max(end, f["at_s"] + f.get("for_s", f.get("hang_s", 0.0)))
     day = {
         "name": f"meet-{first.__name__.replace('_', '-')}-{seed}",
         "seed": 7000 + seed,
@@ -439,15 +629,16 @@
     draw.add_argument("site")
     draw.add_argument("--seed", type=int, required=True)
     draw.add_argument("--out")
-    run, gap = verbs.add_parser("play"), verbs.add_parser("gap")
-    for verb in (run, gap):
+    run, gap, pair = verbs.add_parser("play"), verbs.add_parser("gap"), verbs.add_parser("pairs")
+    for verb in (run, gap, pair):
         verb.add_argument("kit")
         verb.add_argument("site")
         verb.add_argument("--seeds", required=True, help="FIRST:LAST, the last one included")
         verb.add_argument("--jobs", type=int, default=8)
         verb.add_argument("--days", help="where days, reports and logs are kept (default: a new folder)")
-    run.add_argument("--log", choices=["error", "info", "debug"])
-    for verb in (draw, run, gap):
+    for verb in (run, pair):
+        verb.add_argument("--log", choices=["error", "info", "debug"])
+    for verb in (draw, run, gap, pair):
         verb.add_argument("--share", type=float, default=1.0, help="of the site's machines and jobs, 0.01 to 2")
     args = parser.parse_args()
     if not 0.01 <= args.share <= 2:
@@ -471,8 +662,12 @@
         return gaps(str(bench), args, site)
     work = work_folder(args)
     days = []
-    for seed in range(first, last + 1):
-        day = drawn(site, seed, args.share)
+    if args.verb == "pairs":
+        drawn_days = [(s, {**day, "name": f"{name}-{s}", "seed": s}) for name, day in pair_days(site, args.share)
+                      for s in range(first, last + 1)]
+    else:
+        drawn_days = [(s, drawn(site, s, args.share)) for s in range(first, last + 1)]
+    for seed, day in drawn_days:
         file = work / f"{site.name}-{day['name']}.toml"
         file.write_text(toml_day(day), encoding="utf-8")
         days.append((seed, file))
