The longer a task is overdue, the longer it is expected to be

Cause: what was left of a task past its estimate was taken for 0.15 of the estimate however long it ran, so jobs waited for its room instead of a new machine: seen in cases over loopback, where the fifth of six jobs beside tasks of a wrong estimate was never begun. Mend: 0.15 of what it has run, in both places (left_of).

--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -16,7 +16,7 @@
 constexpr double kPatience = 0.15;     // share of a job's slack that it may wait for room
 constexpr double kThrift = 0.85;       // and as much more as a new machine would stand empty
 constexpr double kStopping_s = 3;      // a task told to stop is gone soon
-constexpr double kOverdue = 0.15;      // of its expected run: what is left of a task that should be over
+constexpr double kOverdue = 0.15;  // of its expected run, or of the longer one it has had: what is left when it should be over
 constexpr double kLeastCharge_s = 60;  // a machine costs this much even if it is returned sooner
 constexpr double kRecent_s = 120;      // what came in this time is what will come
 constexpr double kSettled_s = 30;      // a task that has just started is left alone
@@ -64,6 +64,10 @@
     return tables.type_fits(spec, c.type) && !tables.spares_gpus(spec, c.type);
 }
 
+// Of a task's run, in seconds. The longer it is overdue, the longer it will be: taken for as good as over, tasks of a wrong
+// estimate kept others waiting for their room for as long as they ran.
+double left_of(double expected, double ran) { return std::max(kOverdue * std::max(expected, ran), expected - ran); }
+
 std::vector<Coming> known_machines(const Tables& tables, const Usable& usable, double now) {
     std::vector<Coming> out;
     for (auto& m : tables.machines) {
@@ -85,7 +89,7 @@
             if (task.stopping)
                 left = kStopping_s;
             else if (task.running_at > 0)
-                left = std::max(kOverdue * run, run - (now - task.running_at));
+                left = left_of(run, now - task.running_at);
             else
                 left = run + std::max(0.0, tables.fetch_s(job.spec, m->type) - (now - task.placed_at));
             c.ends.emplace_back(left, job.spec.need);
@@ -618,7 +622,7 @@
             if (!fits) break;
             place->second -= spec.need;
             double run = tables.expected_run_s(spec);
-            longest = std::max(longest, std::max(kOverdue * run, run - ran));
+            longest = std::max(longest, left_of(run, ran));
             moving = std::max(moving, spec.save_s + kMove_s);
         }
         if (!fits || longest < 2 * moving) continue;
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -699,6 +699,7 @@
         double price;  // of the dearest type: 1, or ten times as much
         double left_s, deadline_s;
         size_t rentals;
+        double ran_s = 0;
     };
     // A new machine takes 30 s, and costs 1.
     const Row rows[] = {
@@ -710,6 +711,9 @@
         {"cheap: room comes sooner, though not by much", 10, 20, 60, 1},
         {"cheap: room comes much sooner", 10, 10, 60, 0},
         {"cheap: time to spare", 10, 60, 600, 0},
+        {"overdue by little", 1, 20, 60, 0, 30},
+        // It was taken for as good as over, for as long as it ran.
+        {"overdue by far", 1, 20, 60, 1, 400},
     };
     for (auto& row : rows) {
         World w;
@@ -721,6 +725,7 @@
         s.estimate_s = row.left_s;
         auto j = w.running(s, {m});
         w.tables.jobs[j]->tasks[0].running_at = static_cast<float>(w.now);
+        w.now += row.ran_s;
         s.id = "req-2";
         s.deadline_s = row.deadline_s;
         w.job(s);
