A campaign without an answer keeps its lease alive

Cause: while every transaction is carried out later than a lease lasts, each campaign came with a lease of its own, which was over by then: nobody was elected for as long as that lasted. Mend: the lease of a campaign of unknown outcome is renewed, and the next campaign goes with it; whichever copy is carried out, observe() finds it and proves the lease alive. Copies cannot do harm: each needs the key to be free and the lease to live, and one carried out after the tenure has ended is dropped like a former life's.

--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -97,7 +97,6 @@
     revision_ = page.value.revision;
     if (page.value.items.empty() || page.value.items[0].key != kLeaderKey) {
         learn("", 0);
-        unsure_lease_ = 0;
         co_return true;
     }
     auto& item = page.value.items[0];
@@ -118,8 +117,8 @@
         tenure_->lease = unsure_lease_;
         tenure_->won = steady_now();
         tenure_->sure_until = sure_until(started, lease_s_);
-        unsure_lease_ = 0;
     }
+    unsure_lease_ = 0;
     learn(name, item.version);
     co_return true;
 }
@@ -128,22 +127,33 @@
     double wait = events_.campaign_wait ? co_await events_.campaign_wait() : 0;
     if (wait >= 0)
         co_await sleep_s(wait + campaign_delay(steady_now() - started_) + jitter(0.0, kCampaignSpread_s));
+    // A campaign without an answer may yet be carried out: its lease is kept alive for that, and the next one goes with
+    // it. Each with a lease of its own, where every transaction took longer than a lease nobody was ever elected.
     double started = steady_now();
-    auto lease = co_await state_.grant(lease_s_, kCall_s);
-    if (!lease) co_return;
+    auto lease = unsure_lease_;
+    if (lease != 0 && !co_await state_.renew(lease, kCall_s)) {
+        unsure_lease_ = 0;
+        co_return;
+    }
+    if (lease == 0) {
+        auto granted = co_await state_.grant(lease_s_, kCall_s);
+        if (!granted) co_return;
+        lease = granted.value;
+    }
     StateTxn txn;
     txn.conditions.push_back({kLeaderKey, 0});
-    txn.changes.push_back({kLeaderKey, json::serialize(json::object{{"name", settings_.name}}), lease.value});
-    auto won = co_await state_.txn(std::move(txn), kCall_s);
+    txn.changes.push_back({kLeaderKey, json::serialize(json::object{{"name", settings_.name}}), lease});
+    auto won = co_await state_.txn(std::move(txn), std::min(kCall_s, lease_s_ / 2));
     if (won) {
         tenure_ = std::make_shared<Tenure>();
         tenure_->token = won.value;
-        tenure_->lease = lease.value;
+        tenure_->lease = lease;
         tenure_->won = steady_now();
         tenure_->sure_until = sure_until(started, lease_s_);
+        unsure_lease_ = 0;
         learn(settings_.name, won.value);
     } else if (won.outcome == StateOutcome::Unknown) {
-        unsure_lease_ = lease.value;
+        unsure_lease_ = lease;
     }
 }
 
