A repetition that is malformed does not refuse what was accepted

A malformed one that names a job was answered 400 without a look; now the job's state is looked for first, at the leader and at doors. Rows in Service.RunsArraysAndGangsAndAnswersWhatItCannotTake.

--- a/src/coordination/leader_users.cpp
+++ b/src/coordination/leader_users.cpp
@@ -87,10 +87,14 @@
 void Leader::submit(PeerCall& call, Reply& reply) {
     if (!sure(now_)) return reply.set(undecided());
     JobSpec spec;
+    std::optional<PeerReply> malformed;
     try {
         spec = parse_submission(call.body, tables_.names);
     } catch (const BadMessage& e) {
-        return reply.set({400, boost::json::serialize(boost::json::object{{"error", e.what()}})});
+        malformed = PeerReply{400, boost::json::serialize(boost::json::object{{"error", e.what()}})};
+        // What was accepted under that id is not refused for good, whatever its repetition holds.
+        spec.id = submission_id(call.body);
+        if (spec.id.empty()) return reply.set(std::move(*malformed));
     }
     // Accepted by a door: from its record, never anew.
     if (inbox_.count(spec.id)) collect_inbox();
@@ -103,6 +107,7 @@
     if (auto it = finals_.find(spec.id); it != finals_.end())
         return reply.set(final_reply(spec.id, it->second, PeerOp::Submit));
     if (inbox_.count(spec.id)) return refuse_for_good(call, reply, spec.id, come_back());
+    if (malformed) return refuse_for_good(call, reply, spec.id, std::move(*malformed));
     if (!tables_.types_known) return reply.set(come_back(2));
     if (tables_.never_runs(spec)) return refuse_for_good(call, reply, spec.id);
     // The service can't record it now: told at once. Another controller's door may reach the state service.
--- a/src/doors/door.cpp
+++ b/src/doors/door.cpp
@@ -259,10 +259,16 @@
 
 asio::awaitable<PeerReply> Door::submit(std::string body) {
     JobSpec spec;
+    std::optional<PeerReply> malformed;
     try {
         spec = parse_submission(body, tables_.names);
     } catch (const BadMessage& e) {
-        co_return PeerReply{400, json::serialize(json::object{{"error", e.what()}})};
+        malformed = PeerReply{400, json::serialize(json::object{{"error", e.what()}})};
+    }
+    if (malformed) {
+        auto id = submission_id(body);
+        if (id.empty()) co_return *malformed;
+        co_return co_await refuse(std::move(id), std::move(*malformed));
     }
     PeerReply never{422, R"({"error":"can never run"})"};
     if (tables_.never_runs(spec)) co_return co_await refuse(spec.id, std::move(never));
--- a/src/protocol/user_codec.cpp
+++ b/src/protocol/user_codec.cpp
@@ -53,6 +53,16 @@
     return std::all_of(id.begin(), id.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
 
+std::string submission_id(std::string_view body) {
+    try {
+        auto v = read::parse(body);
+        auto id = read::text(read::object(v), "name_id");
+        return valid_job_id(id) ? id : "";
+    } catch (const BadMessage&) {
+        return "";
+    }
+}
+
 JobSpec parse_submission(std::string_view body, Names& names) {
     return parse_submission(read::parse(body), names);
 }
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -26,6 +26,12 @@
         {"POST", "/v2/runs", "{", 400},
         {"POST", "/v2/runs", json::serialize(unknown_team), 422},
         {"POST", "/v2/runs", Service::submission("req-8", "array", 1, 100), 422},
+        // An id that was accepted is never refused for good, whatever comes under it again.
+        {"POST", "/v2/runs", R"({"name_id":"req-1"})", 200},
+        {"POST", "/v2/runs", Service::with(Service::submission("req-1", "array", 1), "lots", 0), 200},
+        {"POST", "/v2/runs", Service::submission("req-1", "array", 1, 100), 200},
+        {"POST", "/v2/runs", R"({"name_id":"req-9"})", 400},
+        {"POST", "/v2/runs", R"({"name_id":"else"})", 400},
         {"GET", "/v2/runs/req-999", "", 404},
         {"GET", "/v2/runs/else", "", 404},
         {"POST", "/v2/runs/req-999/cancel", "", 404},
