Jobs that wait for nothing, as a figure

starved_jobs, a pure function of the tables: a job of which nothing is placed for a minute although a machine that fits has room and its team is under its limit, and what holds the machine.

--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -6,6 +6,7 @@
 
 #include "coordination/account.h"
 #include "coordination/begin/begin.h"
+#include "coordination/starved.h"
 #include "protocol/cloud_codec.h"
 #include "protocol/worker_codec.h"
 
@@ -92,6 +93,7 @@
     out["tasks_pending"] = static_cast<double>(pending);
     out["queues_pressed"] = static_cast<double>(forecast_.pressed());
     account_gauges(account_room(tables_, usable_now(), now_), out);
+    starved_gauges(starved_jobs(tables_, usable_now(), now_, kStarvedAfter_s), out);
 }
 
 PeerReply Leader::come_back(int seconds) const {
--- /dev/null
+++ b/src/coordination/starved.cpp
@@ -0,0 +1,87 @@
+#include "coordination/starved.h"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+
+namespace weirmill {
+
+namespace {
+
+constexpr std::array<const char*, kHeldKinds> kNames = {"nothing",     "back_off", "spared", "reserved",
+                                                        "quarantined", "unheard",  "leaving"};
+
+HeldBy holds(const Tables& tables, const Machine& m, const Usable& usable, Index job, double now) {
+    if (m.notice_until >= 0 || m.closing || m.returning) return HeldBy::Leaving;
+    if (m.quarantined_until > now) return HeldBy::Quarantined;
+    if (!usable(m)) return HeldBy::Unheard;
+    if (m.reserved(now) && m.reserved_for != job) return HeldBy::Reserved;
+    if (!tables.leaves_gpus_usable(tables.jobs[job]->spec, m)) return HeldBy::Spared;
+    return tables.jobs[job]->not_before > now ? HeldBy::BackOff : HeldBy::Nothing;
+}
+
+// How many such tasks the machine has room for.
+int64_t room_for(const Resources& need, Resources room, int64_t most) {
+    int64_t n = 0;
+    while (n < most && need.fits_in(room)) {
+        room = room - need;
+        ++n;
+    }
+    return n;
+}
+
+// The machine that is held least of those that hold the whole job together; nothing: they don't.
+std::optional<Starved> starved(const Tables& tables, const Usable& usable, Index j, double now) {
+    auto& job = *tables.jobs[j];
+    auto& spec = job.spec;
+    // Of an array one task is enough to begin; all others begin whole.
+    int64_t wanted = spec.kind == JobKind::Array ? 1 : job.pending;
+    if (!tables.within_limit(tables.teams[spec.team], spec.need * wanted)) return {};
+    struct Room {
+        Index machine, zone;
+        HeldBy held;
+        int64_t tasks;
+    };
+    std::vector<Room> rooms;
+    for (Index i = 0; i < tables.machines.size(); ++i) {
+        auto* m = tables.machines[i].get();
+        if (!m || !m->up || m->doomed || m->zone == kNone || !tables.machine_allowed(spec, *m)) continue;
+        if (auto n = room_for(spec.need, m->room(), wanted); n > 0)
+            rooms.push_back({i, m->zone, holds(tables, *m, usable, j, now), n});
+    }
+    std::sort(rooms.begin(), rooms.end(), [](auto& a, auto& b) { return a.held < b.held; });
+    int64_t all = 0;
+    std::map<Index, int64_t> in_zone;
+    int64_t most_in_zone = spec.spread ? (spec.tasks + 1) / 2 : wanted;
+    for (auto& room : rooms) {
+        auto& here = in_zone[room.zone];
+        auto n = std::min(room.tasks, most_in_zone - here);
+        here += n;
+        all += n;
+        // Held by the most that any of the machines needed for it is.
+        if ((spec.one_zone ? here : all) >= wanted) return Starved{j, room.machine, room.held};
+    }
+    return {};
+}
+
+}  // namespace
+
+std::vector<Starved> starved_jobs(const Tables& tables, const Usable& usable, double now, double waits_s) {
+    std::vector<Starved> out;
+    for (Index j = 0; j < tables.jobs.size(); ++j) {
+        auto* job = tables.jobs[j].get();
+        if (!job || !job->active() || job->waits || job->placed > 0 || job->done > 0 || job->pending == 0) continue;
+        if (now - job->came_at() < waits_s) continue;
+        if (auto s = starved(tables, usable, j, now)) out.push_back(*s);
+    }
+    return out;
+}
+
+void starved_gauges(const std::vector<Starved>& starved, std::map<std::string, double>& out) {
+    std::array<double, kHeldKinds> count{};
+    for (auto& s : starved) ++count[static_cast<size_t>(s.held)];
+    for (size_t k = 0; k < kHeldKinds; ++k) out[std::string("jobs_starved_") + kNames[k]] = count[k];
+    out["jobs_starved"] = static_cast<double>(starved.size());
+}
+
+}  // namespace weirmill
--- /dev/null
+++ b/src/coordination/starved.h
@@ -0,0 +1,40 @@
+// Jobs that wait for nothing: a machine that fits has room and their team is under its limit. Pure functions of the tables
+// and a given time; they decide nothing.
+#pragma once
+#include <map>
+#include <string>
+#include <vector>
+
+#include "bookkeeping/tables.h"
+#include "coordination/placement.h"
+
+namespace weirmill {
+
+// What keeps the job from the room. The first that is true of the least held machine.
+enum class HeldBy : uint8_t {
+    Nothing,      // the next pass should place it
+    BackOff,      // it failed, and is tried again later
+    Spared,       // for tasks with GPUs
+    Reserved,     // for another job
+    Quarantined,  // the machine failed tasks
+    Unheard,      // the machine is silent or believed deaf
+    Leaving,      // noticed, closing or being returned
+};
+inline constexpr size_t kHeldKinds = static_cast<size_t>(HeldBy::Leaving) + 1;
+
+struct Starved {
+    Index job = kNone;
+    Index machine = kNone;  // of a gang: one of those that would hold it
+    HeldBy held = HeldBy::Nothing;
+};
+
+// Well before users call it that.
+inline constexpr double kStarvedAfter_s = 60;
+
+// Of the jobs of which nothing has been placed for `waits_s` seconds since they could begin. Machines that never were up
+// or are given up have no room.
+std::vector<Starved> starved_jobs(const Tables& tables, const Usable& usable, double now, double waits_s);
+
+void starved_gauges(const std::vector<Starved>& starved, std::map<std::string, double>& out);
+
+}  // namespace weirmill
