The further meetings over loopback, and an oracle of what users were told

Thirteen cases bring the further meetings about; one asks at all nodes around acceptance, end and cancellation, in six kinds of trouble. The stand-in worker can be mute, hang and reach one controller alone; the cloud sees limits and zones broken.

--- /dev/null
+++ b/tests/further_meetings_service_test.cpp
@@ -0,0 +1,362 @@
+// The further meetings of the operators' page, over loopback (docs/failures.md, "Meetings").
+#include "meeting.h"
+
+namespace weirmill {
+namespace {
+
+namespace json = boost::json;
+using test::apart;
+using test::known;
+using test::Meeting;
+using test::Service;
+
+// A job of a team with a limit, or bound to a zone, as its user and its workers know it.
+void submit_as(Meeting& s, const std::string& id, const std::string& kind, int tasks, double cpus, double run_s,
+               const std::string& team, const std::string& zone = "", const std::string& urgency = "normal") {
+    standin::Job job;
+    job.run_s = run_s;
+    job.gang = kind == "ensemble";
+    job.tasks = static_cast<uint32_t>(tasks);
+    job.team = team;
+    job.zone = zone;
+    job.cpus = cpus;
+    s.cloud->jobs[id] = job;
+    auto body = Service::with(Service::submission(id, kind, tasks, cpus), "consignor", json::string(team));
+    body = Service::with(Service::with(body, "urgency", json::string(urgency)), "expected_s", 60.0);
+    if (!zone.empty()) body = Service::with(body, "yard", json::string(zone));
+    ASSERT_EQ(s.ask("POST", "/v2/runs", body).status, 201);
+}
+
+// A zone with workers and the leader is cut off for longer than a worker's lease: inside they hear each other, outside
+// another controller leads, cancels, and starts nothing of the zone's work before it is proven gone.
+TEST(FurtherMeetings, AZoneWithItsControllerCutOffForLongerThanALease) {
+    Meeting s(3, apart());
+    s.start("req-2", 4);
+    s.start("req-3", 4, 12);
+    int old = s.leading();
+    for (auto* w : s.machines_of("req-2")) {
+        w->only = old;
+        w->no_commands = true;
+    }
+    for (auto& [name, w] : s.cloud->workers)
+        if (w->only < 0) w->cut_from = old;
+    double cut = steady_now();
+    s.state->refused.insert(old);
+    s.next_leader_after("node-" + std::to_string(old));
+    ASSERT_EQ(s.cancel_at(s.leading(), "req-2"), "aborted");
+    s.expect_gone_by(steady_now(), "req-2");
+    EXPECT_GT(steady_now() - cut, s.base.lease_s);
+    EXPECT_TRUE(known(s.status("req-3")) || s.status("req-3") == "done");
+    s.state->refused.clear();
+    for (auto& [name, w] : s.cloud->workers) w->only = w->cut_from = -1, w->no_commands = false;
+    EXPECT_TRUE(s.done("req-3"));
+    EXPECT_EQ(s.status("req-2"), "aborted");
+    s.expect_no_rule_broken();
+}
+
+// All controllers stand still, or end, for longer than a worker's lease: all work starts anew, each task once more, and
+// what users were told holds.
+TEST(FurtherMeetings, AllControllersAreAwayForLongerThanALease) {
+    for (bool end : {false, true}) {
+        SCOPED_TRACE(end);
+        Meeting s(3, apart());
+        s.start("req-2", 3, 3);
+        s.start("req-3", 2);
+        ASSERT_EQ(s.cancel_at(s.leading(), "req-3"), "aborted");
+        for (int i = 0; i < 3; ++i) s.crash(i);
+        s.pass(1.5 * s.base.lease_s);
+        EXPECT_FALSE(s.cloud->on_some_machine("req-2"));
+        for (int i = 0; i < 3; ++i) end ? s.add_node(i) : void(s.alive[static_cast<size_t>(i)] = true);
+        EXPECT_TRUE(s.done("req-2"));
+        EXPECT_EQ(s.status("req-3"), "aborted");
+        for (int t = 0; t < 3; ++t) EXPECT_EQ(s.cloud->starts["req-2/" + std::to_string(t)], 2) << t;
+        s.expect_no_rule_broken();
+    }
+}
+
+// Leaders change ten times, once inside an outage; at each change a job is submitted and another cancelled.
+TEST(FurtherMeetings, LeadersChangeTenTimesAlsoInsideAnOutage) {
+    Service::With with = apart();
+    with.lease_s = 0.8;
+    Meeting s(3, with);
+    s.start("req-2", 2, 4);
+    for (int n = 0; n < 10; ++n) {
+        auto work = "req-" + std::to_string(100 + n), off = "req-" + std::to_string(200 + n);
+        EXPECT_EQ(s.submit(work, "array", 1, {0.3}), 201);
+        EXPECT_EQ(s.submit(off, "array", 1, {1000}), 201);
+        auto old = s.leader();
+        s.state->refused = {old.back() - '0'};
+        EXPECT_EQ(s.cancel_at((old.back() - '0' + 1 + n % 2) % 3, off), "aborted");
+        if (n == 5) {
+            s.state->down = true;
+            s.pass(2 * with.lease_s);
+            s.state->end_outage();
+        }
+        s.next_leader_after(old);
+    }
+    s.state->refused.clear();
+    for (int n = 0; n < 10; ++n) {
+        EXPECT_TRUE(s.done("req-" + std::to_string(100 + n))) << n;
+        EXPECT_EQ(s.status("req-" + std::to_string(200 + n)), "aborted") << n;
+    }
+    EXPECT_TRUE(s.done("req-2"));
+    s.expect_no_rule_broken();
+}
+
+// Reports of all times come to every controller once more: as a new leader begins, or once it has acted. What has ended
+// is not brought back, what runs is not taken for lost.
+TEST(FurtherMeetings, OldReportsReachEveryControllerAsANewLeaderBeginsOrHasActed) {
+    for (bool acted : {false, true}) {
+        SCOPED_TRACE(acted);
+        Meeting s(3, apart());
+        s.start("req-2", 3, 0.5);
+        EXPECT_TRUE(s.done("req-2"));
+        s.start("req-3", 3, 5);
+        s.start("req-4", 2);
+        ASSERT_EQ(s.cancel_at(s.leading(), "req-4"), "aborted");
+        auto old = s.leader();
+        s.state->refused = {old.back() - '0'};
+        s.next_leader_after(old);
+        if (acted) {
+            EXPECT_EQ(s.submit("req-5", "array", 4, {0.3}), 201);
+            EXPECT_TRUE(s.done("req-5"));
+        }
+        for (auto& [name, w] : s.cloud->workers)
+            for (size_t n = 0; n < w->reports(); n += std::max<size_t>(1, w->reports() / 25)) w->repeat_report(n);
+        EXPECT_EQ(s.submit("req-6", "array", 4, {0.3}), 201);
+        EXPECT_TRUE(s.done("req-6"));
+        EXPECT_TRUE(s.done("req-3"));
+        EXPECT_EQ(s.status("req-4"), "aborted");
+        for (auto& [task, n] : s.cloud->starts) EXPECT_EQ(n, 1) << task;
+        s.expect_no_rule_broken();
+    }
+}
+
+// A team is at its limit as the leader changes; machines with its tasks are silent, hang or reach no controller, and those
+// jobs are cancelled. What may still be there counts toward the limit; what waits begins once it is gone.
+TEST(FurtherMeetings, ATeamAtItsLimitCountsWhatMayStillBeOnMachinesOutOfReach) {
+    struct Row {
+        const char* what;
+        void (*away)(standin::Worker&, bool);
+    };
+    for (auto& row : {Row{"silent", [](standin::Worker& w, bool away) { w.silent = away; }},
+                      Row{"hung", [](standin::Worker& w, bool away) { w.hung = away; }},
+                      Row{"mute", [](standin::Worker& w, bool away) { w.mute = away; }}}) {
+        SCOPED_TRACE(row.what);
+        Meeting s(3, apart());
+        s.cloud->limits["red"] = 32;  // as in the settings
+        submit_as(s, "req-2", "array", 16, 1, 1000, "red");
+        submit_as(s, "req-3", "array", 16, 1, 1000, "red");
+        ASSERT_TRUE(s.until([&] { return s.running("req-2") + s.running("req-3") == 32; }));
+        submit_as(s, "req-4", "array", 16, 1, 0.5, "red");
+        auto away = s.machines_of("req-2");
+        for (auto* w : away) row.away(*w, true);
+        auto old = s.leader();
+        s.state->refused = {old.back() - '0'};
+        s.next_leader_after(old);
+        ASSERT_EQ(s.cancel_at(s.leading(), "req-2"), "aborted");
+        double told = steady_now();
+        EXPECT_TRUE(s.until([&] { return s.state->keys().count("f/req-4") > 0 || steady_now() > told + 3 * s.base.cancel_s; }));
+        EXPECT_EQ(s.status("req-4"), "done");
+        for (auto* w : away) row.away(*w, false);
+        s.expect_gone_by(told, "req-2");
+        EXPECT_EQ(s.cancel_at(s.leading(), "req-3"), "aborted");
+        s.expect_no_rule_broken();
+    }
+}
+
+// New machines are up at once and get work while writes lag, and the leader ends: before its placements are recorded, or
+// with their record on its way.
+TEST(FurtherMeetings, MachinesThatAreUpAtOnceGetWorkWhileWritesLagAndTheLeaderEnds) {
+    for (int lag : {1, 4}) {
+        SCOPED_TRACE(lag);
+        Meeting s(3, apart());
+        standin::Job job;
+        job.run_s = 2;
+        job.tasks = 24;  // more than is there has room for
+        s.cloud->jobs["req-2"] = job;
+        ASSERT_EQ(s.ask("POST", "/v2/runs", Service::submission("req-2", "array", 24, 4)).status, 201);
+        s.state->delay_txns = lag;
+        size_t machines = s.cloud->workers.size();
+        ASSERT_TRUE(s.until([&] { return s.cloud->workers.size() > machines || s.running("req-2") > 0; }));
+        s.pass(0.3);
+        s.crash_leader();
+        EXPECT_TRUE(s.done("req-2"));
+        EXPECT_EQ(s.cloud->ends["req-2"], 24);
+        s.expect_no_rule_broken();
+    }
+}
+
+// Users call jobs off at the very moment at which the state service refuses the leader alone; soon after, it is out for
+// all for longer than cancel_s. Whoever was told "aborted" finds it so, and its tasks end in time.
+TEST(FurtherMeetings, CancellationsAtTheMomentAtWhichTheLeaderAloneIsRefusedBeforeALongOutage) {
+    for (double before : {-0.05, 0.0, 0.02}) {
+        SCOPED_TRACE(before);
+        Meeting s(3, apart());
+        for (int j = 2; j < 8; ++j) s.start("req-" + std::to_string(j), 2);
+        int old = s.leading();
+        std::map<std::string, std::vector<std::shared_ptr<Service::Asked>>> asked;
+        auto cancel = [&](int j) {
+            auto id = "req-" + std::to_string(j);
+            for (size_t node = 0; node < 3; ++node)
+                asked[id].push_back(s.begin(node, "POST", "/v2/runs/" + id + "/cancel"));
+        };
+        if (before < 0) s.state->refused.insert(old);
+        for (int j = 2; j < 8; ++j) {
+            cancel(j);
+            s.pass(std::max(0.0, before));
+            if (j == 4) s.state->refused.insert(old);
+        }
+        double refused = steady_now();
+        s.pass(0.5);
+        s.state->down = true;
+        std::map<std::string, double> told;
+        double gone_at = 0;
+        s.until([&] {
+            for (auto& [id, list] : asked)
+                for (auto& a : list)
+                    if (a->over && a->state() == "aborted") told.emplace(id, steady_now());
+            for (auto& [id, at] : told)
+                if (s.cloud->on_some_machine(id)) gone_at = std::max(gone_at, steady_now() - at);
+            return steady_now() > refused + 1.2 * s.base.cancel_s;
+        });
+        EXPECT_LT(gone_at, s.base.cancel_s);
+        s.state->refused.clear();
+        s.state->end_outage();
+        for (auto& [id, at] : told) EXPECT_EQ(s.status(id), "aborted") << id;
+        for (auto& [id, list] : asked) EXPECT_EQ(s.cancel_at(s.leading(), id), "aborted");
+        s.expect_no_rule_broken();
+    }
+}
+
+// Jobs are cancelled at all nodes in the moment in which one controller's work goes to another.
+TEST(FurtherMeetings, CancellationsWhileOneControllersWorkChangesHands) {
+    struct Row {
+        const char* what;
+        std::function<void(Meeting&)> change;
+    };
+    for (auto& row : {Row{"ends", [](Meeting& s) { s.crash(s.leading()); }},
+                      Row{"refused", [](Meeting& s) { s.state->refused = {s.leading()}; }},
+                      Row{"stands still", [](Meeting& s) { s.alive[static_cast<size_t>(s.leading())] = false; }}}) {
+        SCOPED_TRACE(row.what);
+        Meeting s(3, apart());
+        for (int j = 2; j < 12; ++j) s.start("req-" + std::to_string(j), 1);
+        auto old = s.leader();
+        std::vector<std::shared_ptr<Service::Asked>> asked;
+        for (int j = 2; j < 12; ++j) {
+            if (j == 5) row.change(s);
+            for (size_t node = 0; node < 3; ++node)
+                if (s.alive[node])
+                    asked.push_back(s.begin(node, "POST", "/v2/runs/req-" + std::to_string(j) + "/cancel"));
+            s.pass(0.03);
+        }
+        s.next_leader_after(old);
+        s.alive[static_cast<size_t>(old.back() - '0')] = std::string(row.what) != "ends";
+        s.state->refused.clear();
+        EXPECT_TRUE(s.until([&] { return std::all_of(asked.begin(), asked.end(), [](auto& a) { return a->over; }); }));
+        for (int j = 2; j < 12; ++j) {
+            auto id = "req-" + std::to_string(j);
+            EXPECT_EQ(s.cancel_at(s.leading(), id), "aborted");
+            EXPECT_TRUE(s.until([&] { return !s.cloud->on_some_machine(id); }));
+        }
+        s.expect_no_rule_broken();
+    }
+}
+
+// The machine of a cancelled job hangs and goes on, within its lease or after it, and meanwhile the leader may change.
+TEST(FurtherMeetings, ACancelledTaskWhoseMachineHangsAndGoesOnIsGoneInTimeAndNeverBegins) {
+    struct Row {
+        double leases;  // that it hangs
+        bool change;    // of the leader
+    };
+    for (auto& row : {Row{0.4, false}, Row{0.9, true}, Row{1.6, true}}) {
+        SCOPED_TRACE(row.leases);
+        Meeting s(3, apart());
+        s.start("req-2", 3);
+        auto machines = s.machines_of("req-2");
+        for (auto* w : machines) w->hung = true;
+        double hung = steady_now();
+        ASSERT_EQ(s.cancel_at(s.leading(), "req-2"), "aborted");
+        double told = steady_now();
+        if (row.change) s.state->refused = {s.leading()};
+        s.pass(hung + row.leases * s.base.lease_s - steady_now());
+        for (auto* w : machines) w->hung = false;
+        s.expect_gone_by(told, "req-2");
+        for (int t = 0; t < 3; ++t) EXPECT_EQ(s.cloud->starts["req-2/" + std::to_string(t)], 1) << t;
+        s.expect_no_rule_broken();
+    }
+}
+
+// Workers can't open connections to any controller, while commands reach them: they are not taken for deaf, cancelled
+// tasks are stopped by command long before their lease ends, and others start elsewhere only after it.
+TEST(FurtherMeetings, MachinesThatReachNoControllerButHearCommands) {
+    Service::With with;
+    with.links = true;  // for a lease of 6 s
+    Meeting s(2, with);
+    s.start("req-2", 3);
+    s.start("req-3", 2, 1.0 + 2 * s.base.lease_s);
+    std::set<standin::Worker*> mute;
+    for (const char* id : {"req-2", "req-3"})
+        for (auto* w : s.machines_of(id)) mute.insert(w);
+    for (auto* w : mute) w->mute = true;
+    double began = steady_now();
+    ASSERT_EQ(s.cancel_at(s.leading(), "req-2"), "aborted");
+    EXPECT_TRUE(s.until([&] { return !s.cloud->on_some_machine("req-2"); }));
+    EXPECT_LT(steady_now() - began, 0.5 * s.base.lease_s);
+    EXPECT_TRUE(s.until([&] { return s.cloud->starts["req-3/0"] > 1 || s.cloud->starts["req-3/1"] > 1; }));
+    EXPECT_GT(steady_now() - began, s.base.lease_s - 2 * s.base.report_s);
+    auto page = s.ask_node(static_cast<size_t>(s.leading()), "GET", "/metrics", "");
+    ASSERT_TRUE(page);
+    EXPECT_NE(page->body.find("\nweirmill_machines_deaf 0\n"), std::string::npos);
+    for (auto* w : mute) w->mute = false;
+    EXPECT_TRUE(s.done("req-3"));
+    s.expect_no_rule_broken();
+}
+
+// Jobs bound to one zone, a gang and an array, lose their machines: they go on in that zone alone.
+TEST(FurtherMeetings, JobsBoundToOneZoneLoseTheirMachines) {
+    Meeting s(2);
+    for (const char* kind : {"array", "ensemble"}) {
+        std::string id = kind[0] == 'a' ? "req-2" : "req-3";
+        submit_as(s, id, kind, 3, 4, 2, "blue", "b");
+        ASSERT_TRUE(s.until([&] { return s.running(id) == 3; }));
+        auto lost = s.machines_of(id);
+        for (size_t i = 0; i < lost.size(); i += 2) lost[i]->kill();
+        EXPECT_TRUE(s.done(id)) << kind;
+        EXPECT_EQ(s.running(id), 0);
+    }
+    s.expect_no_rule_broken();
+}
+
+// More work than a team's limit has room for, urgent and not: the limit holds, all of it runs in the end, and the urgent
+// part is not the last.
+TEST(FurtherMeetings, MoreWorkThanRoomUrgentAndNot) {
+    Meeting s(3);
+    s.cloud->limits["red"] = 32;
+    for (int j = 0; j < 4; ++j)
+        submit_as(s, "req-" + std::to_string(10 + j), "array", 16, 1, 0.4, "red", "", "low");
+    ASSERT_TRUE(s.until([&] { return s.cloud->starts.size() > 8; }));
+    submit_as(s, "req-20", "array", 16, 1, 0.4, "red", "", "high");
+    ASSERT_TRUE(s.until([&] { return s.state->keys().count("f/req-20") > 0; }));
+    int left = 0;
+    for (int j = 0; j < 4; ++j) left += s.state->keys().count("f/req-" + std::to_string(10 + j)) == 0;
+    EXPECT_GT(left, 0);
+    for (int j = 0; j < 4; ++j) EXPECT_TRUE(s.done("req-" + std::to_string(10 + j)));
+    s.expect_no_rule_broken();
+}
+
+// While no transaction is answered at all, each carried out late, the leader ends: another is elected all the same.
+// A campaign that was carried out late used to find its lease over, for as long as that lasted.
+TEST(FurtherMeetings, ACampaignThatIsCarriedOutLateFindsItsLeaseAlive) {
+    Service::With with = apart();
+    with.lease_s = 0.7;  // half as long as a transaction takes here
+    Meeting s(2, with);
+    s.start("req-2", 2, 4);
+    s.state->delay_txns = 1 << 20;
+    s.crash_leader();
+    EXPECT_TRUE(s.done("req-2"));
+    s.expect_no_rule_broken();
+}
+
+}  // namespace
+}  // namespace weirmill
--- a/tests/meetings_service_test.cpp
+++ b/tests/meetings_service_test.cpp
@@ -1,65 +1,18 @@
 // The service over loopback where two troubles meet (docs/failures.md, "Meetings"). What is cut, held or refused stays
 // so until a condition holds; the bounds are those of the settings.
-#include "service.h"
+#include <random>
+
+#include "meeting.h"
 
 namespace weirmill {
 namespace {
 
 namespace json = boost::json;
+using test::apart;
+using test::known;
+using test::Meeting;
 using test::Service;
 
-struct Meeting : Service {
-    explicit Meeting(int count, With with = {})
-        : Service(count, [&] {
-              with.doors = true;
-              with.patience_s = 1;  // longer than a report is held for records
-              return with;
-          }()) {
-        EXPECT_EQ(submit("req-1", "array", 1), 201);
-        EXPECT_TRUE(done("req-1"));
-        EXPECT_TRUE(until([&] { return state->count(kMarkKeys) == settings.size(); }));
-    }
-    int leading() { return leader().back() - '0'; }
-    void start(const std::string& id, int tasks, double run_s = 1000) {
-        standin::Job job;
-        job.run_s = run_s;
-        ASSERT_EQ(submit(id, "array", tasks, job) / 100, 2);
-        ASSERT_TRUE(until([&] { return running(id) == tasks; }));
-    }
-    int running(const std::string& id) {
-        int n = 0;
-        for (auto& [name, w] : cloud->workers) n += w->dead() ? 0 : w->count(id);
-        return n;
-    }
-    // The node's answer, once it is not to come back; "" if `given_up` comes first.
-    std::string cancel_at(int node, const std::string& id, const std::function<bool()>& given_up = [] { return false; }) {
-        std::string state;
-        until([&] {
-            auto reply = ask_node(static_cast<size_t>(node), "POST", "/v2/runs/" + id + "/cancel", "");
-            if (reply && reply->status == 200) state = std::string(json::parse(reply->body).at("status").as_string());
-            return !state.empty() || given_up();
-        });
-        return state;
-    }
-    void next_leader_after(const std::string& old) {
-        ASSERT_TRUE(until([&] { return !leader().empty() && leader() != old; }));
-    }
-    void pass(double seconds) {
-        double end = steady_now() + seconds;
-        until([&] { return steady_now() > end; });
-    }
-    void expect_no_rule_broken() { EXPECT_TRUE(cloud->broken.empty()) << cloud->broken[0]; }
-};
-
-// Alive: whether a new leader has heard of its tasks yet is another matter.
-bool known(const std::string& status) { return status == "running" || status == "queued"; }
-
-Service::With apart() {  // controllers that refuse each other
-    Service::With with;
-    with.cut = true;
-    return with;
-}
-
 // The state service refuses the leader alone, another controller confirms a cancellation, and then the state service is
 // down for all for longer than cancel_s, while the workers keep reporting to the old leader.
 TEST(Meetings, ACancellationThatTheOldLeaderCannotKnowOfEndsItsTasksInTimeThroughAnOutage) {
@@ -302,6 +255,103 @@
     s.expect_no_rule_broken();
 }
 
+// Users ask at all nodes within milliseconds, again and again: right after a job was accepted, at the end of its task and
+// after a confirmed cancellation, which comes at that end, too. What they were told is judged by the history.
+TEST(Meetings, WhoeverAsksAtAnyNodeAroundAnEndIsToldNothingOlder) {
+    struct Row {
+        const char* what;
+        bool peers;   // controllers hear each other
+        std::function<void(Meeting&, int)> trouble;  // after so many jobs
+    };
+    const Row rows[] = {
+        {"no trouble", true, [](Meeting&, int) {}},
+        {"doors and leader apart", false, [](Meeting&, int) {}},
+        {"answers are lost, and others read what was written", true,
+         [](Meeting& s, int n) { if (n % 5 == 0) s.state->lose_txn_answers = 1; }},
+        {"transactions are carried out late", false, [](Meeting& s, int n) { if (n % 7 == 0) s.state->delay_txns = 1; }},
+        {"the leader ends", true, [](Meeting& s, int n) { if (n == 12) s.crash(s.leading()); }},
+        {"the state service refuses the leader", false,
+         [](Meeting& s, int n) { if (n == 8) s.state->refused.insert(s.leading()); else if (n == 16) s.state->refused.clear(); }},
+    };
+    constexpr int kJobs = 24;
+    for (auto& row : rows) {
+        SCOPED_TRACE(row.what);
+        std::mt19937 random(7);
+        auto between = [&](double a, double b) { return std::uniform_real_distribution<double>(a, b)(random); };
+        Meeting s(3, row.peers ? Service::With{} : apart());
+        struct Job {
+            std::string id, body;
+            double started = 0, cancel_at = 1e18;
+            bool cancels = false, looked = false;
+            std::vector<std::pair<std::shared_ptr<Service::Asked>, bool>> asked;  // and whether it is looked after
+        };
+        std::vector<Job> jobs;
+        auto everywhere = [&](Job& job, const char* method, const std::string& target, bool look_after) {
+            for (size_t node = 0; node < s.nodes.size(); ++node)
+                if (s.alive[node])
+                    job.asked.emplace_back(s.begin(node, method, target, method[0] == 'P' && target == "/v2/runs" ? job.body : ""),
+                                           look_after);
+        };
+        auto step = [&] {
+            s.turn();
+            for (auto& job : jobs) {
+                std::string target = "/v2/runs/" + job.id;
+                if (job.started == 0 && s.cloud->starts[job.id + "/0"] > 0) {
+                    job.started = steady_now();
+                    if (job.cancels) job.cancel_at = job.started + s.cloud->jobs[job.id].run_s + between(-0.05, 0.15);
+                }
+                if (steady_now() > job.cancel_at) {
+                    job.cancel_at = 1e18;
+                    everywhere(job, "POST", target + "/cancel", true);
+                    everywhere(job, "GET", target, false);
+                }
+                if (!job.looked && s.state->keys().count("f/" + job.id)) {
+                    job.looked = true;
+                    everywhere(job, "GET", target, true);
+                    everywhere(job, "POST", "/v2/runs", true);
+                }
+                auto asked = std::exchange(job.asked, {});
+                bool looks = false;
+                for (auto& [a, look_after] : asked) {
+                    if (!a->over)
+                        job.asked.emplace_back(a, look_after);
+                    else
+                        looks = looks || (look_after && !a->state().empty());
+                }
+                if (!looks) continue;
+                everywhere(job, "GET", target, false);
+                if (random() % 2) everywhere(job, "POST", "/v2/runs", false);
+            }
+        };
+        for (int n = 0; n < kJobs; ++n) {
+            Job job;
+            job.id = "req-" + std::to_string(100 + n);
+            job.body = Service::submission(job.id, "array", 1);
+            job.cancels = n % 2 == 0;
+            standin::Job work;
+            work.run_s = between(0.1, 0.5);
+            s.cloud->jobs[job.id] = work;
+            jobs.push_back(std::move(job));
+            row.trouble(s, n);
+            everywhere(jobs.back(), "POST", "/v2/runs", true);
+            for (double end = steady_now() + 0.1; steady_now() < end;) step();
+        }
+        s.state->refused.clear();
+        EXPECT_TRUE(s.until([&] {
+            step();
+            return std::all_of(jobs.begin(), jobs.end(), [&](auto& job) {
+                // Of one that nobody accepted, as all were told to come back, there is nothing to wait for.
+                bool accepted = std::any_of(s.history.exchanges.begin(), s.history.exchanges.end(), [&](auto& e) {
+                    return e.job == job.id && (e.status == 200 || e.status == 201);
+                });
+                return (!accepted || (job.looked && s.state->keys().count("f/" + job.id))) && job.asked.empty();
+            });
+        }));
+        EXPECT_GT(s.history.exchanges.size(), 300u);
+        s.expect_no_rule_broken();
+    }
+}
+
 // Controllers hand over and back, all end, and one is back at once: tasks run on, and each starts once.
 TEST(Meetings, AllEndInTheMiddleOfAnElectionAndOneIsBackAtOnce) {
     Service::With with;
--- a/tests/service.h
+++ b/tests/service.h
@@ -6,6 +6,7 @@
 
 #include "coordination/front.h"
 #include "fixtures.h"
+#include "history.h"
 #include "standin/cable.h"
 #include "standin/standins.h"
 
@@ -82,6 +83,13 @@
                 s->peers.push_back({"stranger-" + std::to_string(k), "a", {"127.0.0.1", 1}});
     }
     ~Service() {
+        // Tasks of a gang are done together, each by its own worker's clock: of these, nothing is known.
+        for (auto& [task, at] : cloud->done_at) {
+            auto job = task.substr(0, task.rfind('/'));
+            if (cloud->jobs[job].gang || cloud->ends[job] < static_cast<int>(cloud->jobs[job].tasks)) continue;
+            history.ended[job] = std::max(history.ended[job], at);
+        }
+        EXPECT_EQ(history.contradiction(), "");
         // The cases end in the middle of things: what still waits is dropped with its io_context.
         // So are connections between the stand-ins and the cables, whose coroutines look at them once more.
         for (auto& n : nodes) n.release();
@@ -146,24 +154,71 @@
         }
         return {};
     }
-    std::optional<HttpAnswer> ask_node(size_t i, const char* method, const std::string& target,
-                                       const std::string& body) {
+    // A request on its way; `over` once it is answered, or given up.
+    struct Asked {
+        bool over = false;
+        std::optional<HttpAnswer> answer;
+        std::string state() const {
+            if (!answer || answer->status / 100 != 2) return "";
+            return std::string(json::parse(answer->body).at("status").as_string());
+        }
+    };
+    // Every question and answer about a job goes into the history, which is judged when the case is over.
+    std::shared_ptr<Asked> begin(size_t i, const char* method, const std::string& target, const std::string& body = "") {
         auto client =
             std::make_shared<HttpClient>(io, Endpoint{"127.0.0.1", nodes[i]->api_port()}, 1024 * 1024);
-        auto out = std::make_shared<std::optional<HttpAnswer>>();
-        auto over = std::make_shared<bool>(false);
+        auto out = std::make_shared<Asked>();
+        auto entry = note(i, method, target, body);
         asio::co_spawn(
             io,
-            [](std::shared_ptr<HttpClient> client, const char* method, std::string target, std::string body,
-               std::shared_ptr<std::optional<HttpAnswer>> out,
-               std::shared_ptr<bool> over) -> asio::awaitable<void> {
-                *out = co_await client->request(method, target, body, 5);
-                *over = true;
-            }(client, method, target, body, out, over),
+            [](Service* self, std::shared_ptr<HttpClient> client, const char* method, std::string target,
+               std::string body, std::shared_ptr<Asked> out, size_t entry) -> asio::awaitable<void> {
+                out->answer = co_await client->request(method, target, body, 5);
+                out->over = true;
+                if (entry != kNoEntry && out->answer) {
+                    auto& e = self->history.exchanges[entry];
+                    e.answered = steady_now();
+                    e.status = out->answer->status;
+                    e.state = out->state();
+                }
+            }(this, client, method, target, body, out, entry),
             asio::detached);
-        until([&] { return *over; });
-        return *out;
+        return out;
+    }
+    std::optional<HttpAnswer> ask_node(size_t i, const char* method, const std::string& target,
+                                       const std::string& body) {
+        auto asked = begin(i, method, target, body);
+        until([&] { return asked->over; });
+        return asked->answer;
+    }
+    static constexpr size_t kNoEntry = ~size_t{0};
+    size_t note(size_t node, const std::string& method, const std::string& target, const std::string& body) {
+        Exchange e;
+        e.asked = steady_now();
+        e.where = "node-" + std::to_string(node);
+        if (target == "/v2/runs" && method == "POST") {
+            boost::system::error_code bad;
+            auto v = json::parse(body, bad);
+            if (bad || !v.is_object() || !v.as_object().contains("name_id") || !v.at("name_id").is_string()) return kNoEntry;
+            e.asking = Asking::Submission;
+            e.job = std::string(v.at("name_id").as_string());
+            if (auto* on = v.as_object().if_contains("awaits"); on && on->is_array()) {
+                auto& needs = history.awaits[e.job];
+                needs.clear();
+                for (auto& d : on->as_array())
+                    if (d.is_string()) needs.emplace_back(d.as_string());
+            }
+        } else if (target.starts_with("/v2/runs/")) {
+            e.job = target.substr(9);
+            e.asking = e.job.ends_with("/cancel") ? Asking::Cancellation : Asking::Poll;
+            if (e.asking == Asking::Cancellation) e.job.resize(e.job.size() - 7);
+        } else {
+            return kNoEntry;
+        }
+        history.exchanges.push_back(std::move(e));
+        return history.exchanges.size() - 1;
     }
+    History history;
     static std::string submission(const std::string& id, const std::string& kind, int tasks,
                                   double cpus = 1) {
         return json::serialize(json::object{{"name_id", id},
--- a/tests/standin/standins.cpp
+++ b/tests/standin/standins.cpp
@@ -231,6 +231,7 @@
 }
 
 void Worker::step() {
+    if (hung) return;
     double now = steady_now();
     if (now - lease_from_ > cloud_.settings.lease_s) {
         tasks_.clear();
@@ -244,6 +245,7 @@
         t.state = "exited";
         t.cause = cloud_.jobs[job].fails ? "error" : "done";
         cloud_.ends[job] += t.cause == "done";
+        if (t.cause == "done") cloud_.done_at.emplace(id, now);
     }
 }
 
@@ -259,14 +261,8 @@
                 if (it->second.attempt != attempt) cloud_.broken.push_back("busy " + lot);
                 continue;
             }
-            for (auto& [n, other] : cloud_.workers)
-                if (other.get() != this && !other->dead() && other->tasks_.count(lot) &&
-                    other->tasks_[lot].state != "exited")
-                    cloud_.broken.push_back("ran_twice " + lot);
+            cloud_.check_start(*this, lot);
             auto job = lot.substr(0, lot.rfind('/'));
-            for (auto& on : cloud_.jobs[job].awaits)
-                if (cloud_.ends[on] < static_cast<int>(cloud_.jobs[on].tasks))
-                    cloud_.broken.push_back("too_early " + lot);
             ++cloud_.starts[lot];
             auto& spec = cloud_.jobs[job];
             double run_s = spec.run_s + spec.stagger_s * std::stoi(lot.substr(lot.rfind('/') + 1));
@@ -284,7 +280,7 @@
 
 asio::awaitable<HttpReply> Worker::handle(HttpRequest r) {
     auto self = shared_from_this();
-    while (hold_commands && !dead_) co_await sleep_s(0.01);
+    while ((hold_commands || hung) && !dead_) co_await sleep_s(0.01);
     if (dead_ || silent || deaf || no_commands) co_return HttpReply{500, "{}"};
     step();
     auto v = json::parse(r.body).as_object();
@@ -308,12 +304,17 @@
     (void)co_await client.request("POST", "/v1/report", std::move(body), 1.0);
 }
 
+void Worker::repeat_report(size_t n) {
+    for (auto& to : cloud_.nodes) asio::co_spawn(io_, send_copy(shared_from_this(), sent_[n], to), asio::detached);
+}
+
 asio::awaitable<void> Worker::live(std::shared_ptr<Worker> self) {
     size_t node = 0;
     while (!dead_) {
         co_await sleep_s(cloud_.settings.report_s);
         step();
-        if (dead_ || silent || cloud_.nodes.empty()) continue;
+        if (dead_ || silent || hung || mute || cloud_.nodes.empty()) continue;
+        if (only >= 0) node = static_cast<size_t>(only);
         if (cut_from >= 0 && static_cast<size_t>(cut_from) == node % cloud_.nodes.size()) ++node;
         double sent = steady_now();
         uint64_t session = session_;
@@ -327,6 +328,8 @@
             asio::co_spawn(io_, send_copy(self, std::move(old), to), asio::detached);
         }
         auto reply = co_await client.request("POST", "/v1/report", body, cloud_.settings.worker_patience_s);
+        if (hung || mute) reply.reset();  // given up by the time that it goes on
+        while (hung && !dead_) co_await sleep_s(0.01);
         if (dead_ || silent) continue;
         if (deaf) {
             ++node;
@@ -345,7 +348,7 @@
         ++node;
         if (reply && reply->status == 421) {
             auto v = json::parse(reply->body).as_object();
-            if (auto* clerk = v.if_contains("clerk"))
+            if (auto* clerk = v.if_contains("clerk"); clerk && clerk->is_string())
                 for (size_t i = 0; i < cloud_.node_names.size(); ++i)
                     if (cloud_.node_names[i] == clerk->as_string()) node = i;
         }
@@ -353,6 +356,28 @@
     (void)self;
 }
 
+// What a task's start on this machine breaks, given all that is on the others.
+void Cloud::check_start(const Worker& on, const std::string& task) {
+    auto& job = jobs[task.substr(0, task.rfind('/'))];
+    double used = job.cpus;
+    for (auto& [name, other] : workers) {
+        // What hangs beyond its lease never goes on.
+        bool over = other->hung && steady_now() - other->lease_from_ > settings.lease_s;
+        if (other->dead() || over) continue;
+        for (auto& [lot, t] : other->tasks_) {
+            if (t.state == "exited") continue;
+            if (other.get() != &on && lot == task) broken.push_back("ran_twice " + task);
+            auto& its = jobs[lot.substr(0, lot.rfind('/'))];
+            if (its.team == job.team) used += its.cpus;
+        }
+    }
+    if (auto limit = limits.find(job.team); limit != limits.end() && used > limit->second)
+        broken.push_back("quota " + task + " " + std::to_string(used));
+    if (!job.zone.empty() && job.zone != on.zone) broken.push_back("wrong_place " + task);
+    for (auto& awaited : job.awaits)
+        if (ends[awaited] < static_cast<int>(jobs[awaited].tasks)) broken.push_back("too_early " + task);
+}
+
 Cloud::Cloud(asio::io_context& io, const Settings& s)
     : settings(s),
       io_(io),
--- a/tests/standin/standins.h
+++ b/tests/standin/standins.h
@@ -80,6 +80,8 @@
     bool fails = false;
     std::vector<std::string> awaits{};
     double stagger_s = 0;  // each task runs as much longer than the one before it
+    std::string team{}, zone{};  // a limited team (Cloud::limits), the only allowed zone
+    double cpus = 1;             // of each task
 };
 
 class Cloud;
@@ -97,6 +99,12 @@
     bool no_commands = false;  // what is sent straight to it is lost
     bool hold_commands = false;  // what is sent straight to it arrives once this ends
     int copies = 0;     // of each report, as many older ones come once more
+    bool mute = false;  // its own connections fail; commands reach it
+    int only = -1;      // the one controller that it reaches
+    bool hung = false;  // neither runs nor answers anything; goes on where it was, its lease running all the while
+    // The `n`th report that it sent comes once more, to each controller.
+    void repeat_report(size_t n);
+    size_t reports() const { return sent_.size(); }
     void begin_anew();  // as a machine that is back at once: no tasks, its counts from the start
     uint64_t session() const { return session_; }
     bool runs(const std::string& job) { return count(job) > 0; }
@@ -144,13 +152,16 @@
     std::vector<std::string> broken;    // rules
     std::map<std::string, int> starts;  // by task
     std::map<std::string, int> ends;    // tasks done, by job
+    std::map<std::string, double> done_at;  // by task, when it was done first
     std::set<std::string> hires;
+    std::map<std::string, double> limits;  // CPUs that a team's tasks may use at once
     bool held_starts = false;  // launches are received but not executed until this ends
     const Settings& settings;
     bool on_some_machine(const std::string& job) const;
 
   private:
     asio::awaitable<HttpReply> handle(HttpRequest r);
+    void check_start(const Worker& on, const std::string& task);
     asio::io_context& io_;
     std::map<std::string, json::array> answers_;
     int next_ = 1;
