Cases of old reports and of machines that are mute or up at once reach what they are to guard

Old reports come before any newer one; the first stops to mute machines are lost; leaders' leases are shorter than a late write.

--- a/tests/door_service_test.cpp
+++ b/tests/door_service_test.cpp
@@ -216,6 +216,7 @@
     Doors s(1);
     s.crash(0);
     DoorRecord record{json::parse(s.upload("req-2", 1)), wall_now(), false};
+    s.asked_elsewhere("req-2");
     s.state->put("f/req-2", json::parse(final_record(JobState::Done, 1)));
     s.state->put(door_key("req-2"), json::parse(door_record(record)));
     s.state->refuse_drops = true;
@@ -237,6 +238,7 @@
     for (int i = 0; i < kJobs; ++i) {
         auto id = "req-" + std::to_string(10000 + i);
         DoorRecord record{json::parse(Service::submission(id, "array", 1)), wall_now(), i % 100 != 0};
+        s.asked_elsewhere(id, record.cancelled);
         s.cloud->jobs[id] = {};
         s.state->put(door_key(id), json::parse(door_record(record)));
     }
--- a/tests/further_meetings_service_test.cpp
+++ b/tests/further_meetings_service_test.cpp
@@ -103,26 +103,33 @@
     s.expect_no_rule_broken();
 }
 
-// Reports of all times come to every controller once more: as a new leader begins, or once it has acted. What has ended
-// is not brought back, what runs is not taken for lost.
+// Old reports come to every controller once more: as a new leader begins, before any newer one does, or once it has acted.
+// What has ended is not brought back, what runs is not taken for lost.
 TEST(FurtherMeetings, OldReportsReachEveryControllerAsANewLeaderBeginsOrHasActed) {
     for (bool acted : {false, true}) {
         SCOPED_TRACE(acted);
-        Meeting s(3, apart());
+        Service::With with = apart();
+        with.lease_s = 0.6;  // leaders change well within a worker's lease
+        Meeting s(3, with);
         s.start("req-2", 3, 0.5);
         EXPECT_TRUE(s.done("req-2"));
+        std::map<standin::Worker*, size_t> before;  // reports of the time before the next two jobs
+        for (auto& [name, w] : s.cloud->workers) before[w.get()] = w->reports();
         s.start("req-3", 3, 5);
         s.start("req-4", 2);
         ASSERT_EQ(s.cancel_at(s.leading(), "req-4"), "aborted");
         auto old = s.leader();
         s.state->refused = {old.back() - '0'};
+        for (auto& [name, w] : s.cloud->workers) w->silent = !acted;
         s.next_leader_after(old);
         if (acted) {
             EXPECT_EQ(s.submit("req-5", "array", 4, {0.3}), 201);
             EXPECT_TRUE(s.done("req-5"));
         }
-        for (auto& [name, w] : s.cloud->workers)
-            for (size_t n = 0; n < w->reports(); n += std::max<size_t>(1, w->reports() / 25)) w->repeat_report(n);
+        for (auto& [w, n] : before)
+            for (size_t k = 0; k < n; k += std::max<size_t>(1, n / 10)) w->repeat_report(k);
+        s.pass(0.3);
+        for (auto& [name, w] : s.cloud->workers) w->silent = false;
         EXPECT_EQ(s.submit("req-6", "array", 4, {0.3}), 201);
         EXPECT_TRUE(s.done("req-6"));
         EXPECT_TRUE(s.done("req-3"));
@@ -170,7 +177,9 @@
 TEST(FurtherMeetings, MachinesThatAreUpAtOnceGetWorkWhileWritesLagAndTheLeaderEnds) {
     for (int lag : {1, 4}) {
         SCOPED_TRACE(lag);
-        Meeting s(3, apart());
+        Service::With with = apart();
+        with.lease_s = 0.8;  // over before what lags is carried out
+        Meeting s(3, with);
         standin::Job job;
         job.run_s = 2;
         job.tasks = 24;  // more than is there has room for
@@ -298,9 +307,11 @@
     std::set<standin::Worker*> mute;
     for (const char* id : {"req-2", "req-3"})
         for (auto* w : s.machines_of(id)) mute.insert(w);
-    for (auto* w : mute) w->mute = true;
+    for (auto* w : mute) w->mute = w->no_commands = true;
     double began = steady_now();
     ASSERT_EQ(s.cancel_at(s.leading(), "req-2"), "aborted");
+    s.pass(0.1 * s.base.lease_s);  // the first stops are lost
+    for (auto* w : mute) w->no_commands = false;
     EXPECT_TRUE(s.until([&] { return !s.cloud->on_some_machine("req-2"); }));
     EXPECT_LT(steady_now() - began, 0.5 * s.base.lease_s);
     EXPECT_TRUE(s.until([&] { return s.cloud->starts["req-3/0"] > 1 || s.cloud->starts["req-3/1"] > 1; }));
--- a/tests/service.h
+++ b/tests/service.h
@@ -219,6 +219,12 @@
         return history.exchanges.size() - 1;
     }
     History history;
+    // What a user asked of a controller that the test plays: it was accepted there, or its cancellation taken.
+    void asked_elsewhere(const std::string& id, bool cancelled = false) {
+        double now = steady_now();
+        history.exchanges.push_back({Asking::Submission, id, now, now, 201, "queued", "the test"});
+        if (cancelled) history.exchanges.push_back({Asking::Cancellation, id, now, now, 0, "", "the test"});
+    }
     static std::string submission(const std::string& id, const std::string& kind, int tasks,
                                   double cpus = 1) {
         return json::serialize(json::object{{"name_id", id},
