--- a/bench/meetings.py
+++ b/bench/meetings.py
@@ -349,6 +349,7 @@
     "leader-ends": ("node_crash", {"count": 1, "busiest": True}),
     "refused": ("node_cut", {"count": 1, "busiest": True, "from_state": True, "mode": "refuse"}),
     "peers-refuse": ("peers_refuse", {}),
+    "slow": ("state_slow", {"factor": 80.0}),  # so that more goes with each transaction
 }
 LASTS_S, AT_ONCE = 40.0, ("cancel_now", "node_crash")
 
