A leader is judged by counts of workers about its own term

Cause: counts of workers did not say which leader they are about. Those from before the successor's term (workers that came to the old leader while it knew of none; relays for the old leader that still ran) were held against the successor before its workers had arrived. And the time after which it was judged assumed that one controller leaves a worker without an answer.

Change: LinkStatus names the fencing token its counts are about (new fields in pings and link records, skipped by older versions); peers_counting_for_term() leaves counts about another term out, and accepts those of unknown origin after worker_round_s, in which a worker that no controller answers has tried all. A relay ends with the leader that it was for. Link timeouts are derived from the settings when they are used.

--- a/src/controller/request_router.cpp
+++ b/src/controller/request_router.cpp
@@ -52,17 +52,21 @@
     Membership::Hooks hooks;
     hooks.worker_counts = [this] {
         double now = steady_now();
-        if (leader_ && leader_->ready())
-            return leader_links(leader_->cluster(), membership_->times(), settings_.lease_s, now);
         LinkStatus links;
+        if (leader_ && leader_->ready()) {
+            links = leader_links(leader_->cluster(), membership_->times(), settings_.lease_s, now);
+            links.leader_token = leader_->fencing_token();
+            return links;
+        }
+        links.leader_token = leader_tracker_->fencing_token();
         links.direct_workers = roster_.workers_without_leader(
-            leader_tracker_->fencing_token(), membership_->times().controller_cycle_s, now);
+            links.leader_token, membership_->times().controller_cycle_s, now);
         return links;
     };
-    hooks.leading_since = [this]() -> std::optional<double> {
-        if (!leader_ || !leader_->ready() || !leader_->lease_valid(steady_now()))
-            return std::nullopt;
-        return term_->won_at;
+    hooks.leading_term = [this]() -> std::optional<LeadingTerm> {
+        double now = steady_now();
+        if (!leader_ || !leader_->ready() || !leader_->lease_valid(now)) return std::nullopt;
+        return LeadingTerm{term_->fencing_token, now - term_->won_at};
     };
     hooks.transfer_leadership = [this](const TransferRecord& to) {
         leader_->transfer_leadership([this, to, term = std::weak_ptr(term_)] {
--- a/src/membership/link_policy.cpp
+++ b/src/membership/link_policy.cpp
@@ -43,12 +43,26 @@
         1.2 * kMaxIntervalFactor * s.heartbeat_interval_s + s.worker_failover_delay_s;
     t.controller_cycle_s = kMaxIntervalFactor * s.heartbeat_interval_s +
                            s.worker_response_timeout_s + s.worker_failover_delay_s * controllers;
+    t.worker_round_s = kMaxIntervalFactor * s.heartbeat_interval_s +
+                       (s.worker_response_timeout_s + s.worker_failover_delay_s) * controllers;
     t.min_preference_s = 0.3 * s.heartbeat_interval_s;
     t.transfer_pause_s = 3 * s.heartbeat_interval_s;
     t.view_expiry_s = 3 * s.ping_interval_s;
     return t;
 }
 
+std::vector<PeerView> peers_counting_for_term(std::span<const PeerView> others,
+                                              const LeadingTerm& term, const LinkTimeouts& times) {
+    std::vector<PeerView> out;
+    for (auto& peer : others) {
+        bool unknown_origin = peer.links.leader_token == 0;
+        bool applies = unknown_origin ? term.led_s >= times.worker_round_s
+                                      : peer.links.leader_token == term.fencing_token;
+        if (applies) out.push_back(peer);
+    }
+    return out;
+}
+
 std::optional<std::string> preferred_leader(const LinkStatus& mine,
                                             std::span<const PeerView> others) {
     const PeerView* best = nullptr;
--- a/src/membership/link_policy.h
+++ b/src/membership/link_policy.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <vector>
 
 #include "config/settings.h"
 #include "leadership/leadership_transfer.h"
@@ -17,10 +18,12 @@
 // waits 4 s for a response and tries the next controller 1 s later).
 struct LinkTimeouts {
     double direct_heartbeat_s;  // maximum time between heartbeats of a worker that uses no relay
-    double controller_cycle_s;  // a worker without a usable controller has tried all within this
-    double min_preference_s;    // how long another leader must be preferred before a transfer
-    double transfer_pause_s;    // between transfers; doubles with each one in short succession
-    double view_expiry_s;       // how long the links that a peer reported remain valid
+    double
+        controller_cycle_s;   // a worker that one controller does not answer has tried all in this
+    double worker_round_s;    // a worker that no controller answers has tried all within this
+    double min_preference_s;  // how long another leader must be preferred before a transfer
+    double transfer_pause_s;  // between transfers; doubles with each one in short succession
+    double view_expiry_s;     // how long the links that a peer reported remain valid
     static LinkTimeouts from_settings(const Settings& s);
 };
 
@@ -33,6 +36,20 @@
     bool reachable = false;
 };
 
+// A leadership term of this controller and for how long it has led.
+struct LeadingTerm {
+    uint64_t fencing_token = 0;
+    double led_s = 0;
+};
+
+// Returns those of `others` whose worker counts show which workers can't use the leader of `term`.
+// Counts about an earlier leader, or about the time without one, do not show it: the workers that
+// they include may not have tried this leader yet. Counts of unknown origin are accepted once every
+// worker has had the time to try all controllers.
+[[nodiscard]] std::vector<PeerView> peers_counting_for_term(std::span<const PeerView> others,
+                                                            const LeadingTerm& term,
+                                                            const LinkTimeouts& times);
+
 // Returns which of `others` should lead in place of a leader with the links `mine`, or nothing if
 // that leader should stay. A peer is preferred if it reaches far more of the workers. A peer is
 // also preferred if far more workers report to it directly and the leader has lost most of its own
--- a/src/membership/link_records.cpp
+++ b/src/membership/link_records.cpp
@@ -12,11 +12,10 @@
 
 CasTransaction link_record_transaction(const std::string& controller, const LinkStatus& links,
                                        uint64_t lease) {
-    json::object o{{"state", links.reaches_kv},
-                   {"direct", links.direct_workers},
-                   {"reach", links.reachable_workers},
-                   {"known", links.known_workers},
-                   {"hears", json::value_from(links.reachable_peers)}};
+    json::object o{
+        {"state", links.reaches_kv},        {"direct", links.direct_workers},
+        {"reach", links.reachable_workers}, {"known", links.known_workers},
+        {"token", links.leader_token},      {"hears", json::value_from(links.reachable_peers)}};
     return {{}, {{kLinkRecordPrefix + controller, json::serialize(o), lease}}};
 }
 
@@ -31,6 +30,7 @@
     links.direct_workers = count("direct");
     links.reachable_workers = count("reach");
     links.known_workers = count("known");
+    links.leader_token = read::count(o, "token", 0);
     auto* peers = read::field(o, "hears");
     if (!peers) return links;
     if (!peers->is_array()) read::throw_invalid("hears");
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -32,7 +32,7 @@
 
 bool differs(const LinkStatus& a, const LinkStatus& b) {
     return a.reaches_kv != b.reaches_kv || a.reachable_peers != b.reachable_peers ||
-           differs(a.direct_workers, b.direct_workers) ||
+           a.leader_token != b.leader_token || differs(a.direct_workers, b.direct_workers) ||
            differs(a.reachable_workers, b.reachable_workers);
 }
 
@@ -59,7 +59,6 @@
     : io_(io),
       settings_(settings),
       properties_(properties),
-      times_(LinkTimeouts::from_settings(settings)),
       kv_(kv),
       metrics_(metrics),
       hooks_(std::move(hooks)) {
@@ -78,7 +77,7 @@
     links.reports_links = enabled();
     links.reaches_kv = reaches_kv(now);
     links.reachable_peers = reachable_peers(now);
-    if (!hooks_.leading_since())
+    if (!hooks_.leading_term())
         links.reachable_workers = workers_through_peers(links.direct_workers, peer_views(now));
     return links;
 }
@@ -187,7 +186,7 @@
             auto links = own_links(steady_now());
             // A controller that reaches no workers stores no record: a missing record has the same
             // meaning.
-            if (!hooks_.leading_since() && links.reachable_workers > 0)
+            if (!hooks_.leading_term() && links.reachable_workers > 0)
                 co_await publish_links(std::move(links));
         }
         co_await consider_transfer(steady_now());
@@ -195,11 +194,12 @@
 }
 
 bool Membership::candidate_is_stable(double now) {
-    auto since = hooks_.leading_since();
+    auto term = hooks_.leading_term();
     std::optional<std::string> preferred;
     // A new leader's own counts are too low until each worker has had time to report to it.
-    if (since && now - *since >= times_.controller_cycle_s)
-        preferred = preferred_leader(own_links(now), peer_views(now));
+    if (term && term->led_s >= times().controller_cycle_s)
+        preferred = preferred_leader(own_links(now),
+                                     peers_counting_for_term(peer_views(now), *term, times()));
     if (!preferred) {
         candidate_.clear();
         return false;
@@ -208,20 +208,21 @@
         candidate_ = *preferred;
         candidate_since_ = now;
     }
-    return now - candidate_since_ >= times_.min_preference_s;
+    return now - candidate_since_ >= times().min_preference_s;
 }
 
 asio::awaitable<void> Membership::consider_transfer(double now) {
-    auto since = hooks_.leading_since();
+    auto term = hooks_.leading_term();
     if (!candidate_is_stable(now)) co_return;
     auto own = own_links(now);
     co_await read_transfer_record(kRequestTimeout_s);
     if (!reaches_kv(steady_now())) co_return;
     double wall_time = wall_now();
-    if (!may_transfer(last_transfer_, times_.transfer_pause_s, settings_.clock_off_ms / 1000,
+    if (!may_transfer(last_transfer_, times().transfer_pause_s, settings_.clock_off_ms / 1000,
                       wall_time))
         co_return;
-    if (hooks_.leading_since() != since || candidate_.empty()) co_return;
+    auto current = hooks_.leading_term();
+    if (!current || current->fencing_token != term->fencing_token || candidate_.empty()) co_return;
     auto theirs = peer_links(candidate_, now);
     if (!theirs) co_return;
     spdlog::info(
@@ -230,7 +231,7 @@
         candidate_, own.direct_workers, own.reachable_workers, own.known_workers,
         theirs->direct_workers, theirs->reachable_workers);
     metrics_.increment("hand_overs_total");
-    hooks_.transfer_leadership(next_transfer(last_transfer_, times_.transfer_pause_s,
+    hooks_.transfer_leadership(next_transfer(last_transfer_, times().transfer_pause_s,
                                              settings_.name, candidate_, wall_time));
     candidate_.clear();
 }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -26,18 +26,17 @@
   public:
     struct Hooks {
         // Returns the worker counts of this controller: direct and known workers and, on the
-        // leader, reachable workers.
+        // leader, reachable workers; and the fencing token of the leader that they are about.
         std::function<LinkStatus()> worker_counts;
-        // Returns since when this controller has led, or nothing if it does not lead with a valid
-        // lease.
-        std::function<std::optional<double>()> leading_since;
+        // Returns the term of this controller, or nothing if it does not lead with a valid lease.
+        std::function<std::optional<LeadingTerm>()> leading_term;
         std::function<void(TransferRecord)> transfer_leadership;
     };
     Membership(boost::asio::io_context& io, const Settings& settings, const Properties& properties,
                KvClient& kv, Metrics& metrics, Hooks hooks);
 
     bool enabled() const { return properties_.membership_enabled; }
-    const LinkTimeouts& times() const { return times_; }
+    LinkTimeouts times() const { return LinkTimeouts::from_settings(settings_); }
     // Returns the links that this controller reports.
     [[nodiscard]] LinkStatus own_links(double now) const;
     // Returns the peers whose links are known at present.
@@ -61,7 +60,7 @@
         double contact_at = -1e9, recorded_at = -1e9;
         uint64_t timeouts = 0;  // calls without an answer
     };
-    bool is_recent(double time, double now) const { return now - time < times_.view_expiry_s; }
+    bool is_recent(double time, double now) const { return now - time < times().view_expiry_s; }
     std::vector<std::string> reachable_peers(double now) const;
     // Returns null if the settings name no such peer.
     Peer* configured_peer(const std::string& name);
@@ -80,7 +79,6 @@
     boost::asio::io_context& io_;
     const Settings& settings_;
     const Properties& properties_;
-    LinkTimeouts times_;
     KvClient& kv_;
     Metrics& metrics_;
     Hooks hooks_;
--- a/src/membership/worker_roster.cpp
+++ b/src/membership/worker_roster.cpp
@@ -39,12 +39,13 @@
 
 // Starts a relay of limited duration, after which the worker is redirected to the leader again. The
 // duration doubles each time that the worker reports here again.
-void WorkerRoster::begin_relay(Worker& worker, double now) const {
+void WorkerRoster::begin_relay(Worker& worker, uint64_t leader_token, double now) const {
     bool continued = worker.relay_until > 0 &&
                      now - worker.relay_until < kRelayRenewalLeases * settings_.lease_s;
     worker.relay_duration_s = continued ? std::min(worker.relay_duration_s * 2, kMaxRelay_s)
                                         : std::max(kMinRelay_s, settings_.lease_s);
     worker.relay_until = now + worker.relay_duration_s;
+    worker.relay_leader_token = leader_token;
 }
 
 void WorkerRoster::redirect(Worker& worker, uint64_t leader_token, double now) const {
@@ -53,10 +54,17 @@
     worker.redirected_at = now;
 }
 
+void WorkerRoster::reset_relay(Worker& worker) {
+    worker.relay_until = 0;
+    worker.relay_duration_s = 0;
+}
+
 bool WorkerRoster::should_relay(const std::string& machine, uint64_t worker_token,
                                 uint64_t leader_token, double now) {
     if (workers_.size() > kMaxWorkers && !workers_.contains(machine)) workers_.clear();
     auto& worker = workers_[machine];
+    // A worker that could not use an earlier leader has not tried this one yet.
+    if (leader_token != 0 && worker.relay_leader_token != leader_token) reset_relay(worker);
     bool relayed = now < worker.relay_until;
     // The worker can't use the leader if it knows the leader and still reports here, or if it was
     // redirected and returned. If such a worker were redirected again, it would reach no leader
@@ -70,15 +78,14 @@
     }
     if (leader_token == 0) return false;
     if (!leader_unreachable) redirect(worker, leader_token, now);
-    if (leader_unreachable && !relayed) begin_relay(worker, now);
+    if (leader_unreachable && !relayed) begin_relay(worker, leader_token, now);
     return leader_unreachable;
 }
 
 void WorkerRoster::end_relay(const std::string& machine) {
     auto it = workers_.find(machine);
     if (it == workers_.end()) return;
-    it->second.relay_until = 0;
-    it->second.relay_duration_s = 0;
+    reset_relay(it->second);
 }
 
 uint32_t WorkerRoster::workers_without_leader(uint64_t leader_token, double window_s,
--- a/src/membership/worker_roster.h
+++ b/src/membership/worker_roster.h
@@ -37,13 +37,15 @@
         uint64_t redirected_to_token = 0;  // fencing token of the leader it was redirected to
         int redirects = 0;                 // to that leader, in short succession
         double relay_until = 0;
-        double relay_duration_s = 0;  // of the current or last relay
+        double relay_duration_s = 0;      // of the current or last relay
+        uint64_t relay_leader_token = 0;  // fencing token of the leader that it was for
         double leader_unreachable_at = -1e9;
         uint64_t unreachable_leader_token = 0;  // fencing token of the leader that it can't use
     };
     bool returned_after_redirect(const Worker& worker, uint64_t leader_token, double now) const;
     bool recently_redirected(const Worker& worker, uint64_t leader_token, double now) const;
-    void begin_relay(Worker& worker, double now) const;
+    void begin_relay(Worker& worker, uint64_t leader_token, double now) const;
+    static void reset_relay(Worker& worker);
     void redirect(Worker& worker, uint64_t leader_token, double now) const;
 
     const Settings& settings_;
--- a/src/protocol/links.h
+++ b/src/protocol/links.h
@@ -16,6 +16,9 @@
     uint32_t reachable_workers = 0;            // direct workers and those of reachable peers
     uint32_t known_workers = 0;                // at a leader: workers that should send heartbeats
     std::vector<std::string> reachable_peers;  // peers that answered this controller recently
+    // Fencing token of the leader that the worker counts are about, which is the controller's own
+    // while it leads. 0: the controller knew of no leader, or its version does not report it.
+    uint64_t leader_token = 0;
     bool operator==(const LinkStatus&) const = default;
 };
 
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -37,6 +37,7 @@
   reach @2 :UInt32;       # workers that it reaches directly or through a peer
   known @3 :UInt32;       # at a leader: workers that should send heartbeats
   hears @4 :List(Text);   # peers that answered it recently
+  token @5 :UInt64;       # fencing token of the leader that the counts are about; 0: not known
 }
 
 struct Reply {
--- a/src/transport/peer_codec.cpp
+++ b/src/transport/peer_codec.cpp
@@ -35,6 +35,7 @@
     out.setDirect(links.direct_workers);
     out.setReach(links.reachable_workers);
     out.setKnown(links.known_workers);
+    out.setToken(links.leader_token);
     auto names = out.initHears(static_cast<unsigned>(links.reachable_peers.size()));
     for (unsigned i = 0; i < links.reachable_peers.size(); ++i)
         names.set(i, links.reachable_peers[i]);
@@ -51,6 +52,7 @@
     links.direct_workers = reader.getDirect();
     links.reachable_workers = reader.getReach();
     links.known_workers = reader.getKnown();
+    links.leader_token = reader.getToken();
     for (auto name : reader.getHears()) links.reachable_peers.emplace_back(name.cStr());
     return links;
 }
--- a/tests/fakes/fakes.cpp
+++ b/tests/fakes/fakes.cpp
@@ -43,6 +43,11 @@
                                              [&](auto& i) { return i.first.starts_with(prefix); }));
 }
 
+uint64_t StateService::version(const std::string& key) const {
+    auto it = items_.find(key);
+    return it == items_.end() ? 0 : it->second.version;
+}
+
 void StateService::put(const std::string& key, json::value value) {
     ++revision_;
     changes_.push_back({revision_, key, value});
--- a/tests/fakes/fakes.h
+++ b/tests/fakes/fakes.h
@@ -41,6 +41,8 @@
     // Returns all keys with their values.
     std::map<std::string, json::value> snapshot() const;
     size_t count_keys(const std::string& prefix) const;
+    // Returns the version of a key, 0 if there is none.
+    uint64_t version(const std::string& key) const;
     // Change a key directly, as a client outside the test would.
     void put(const std::string& key, json::value value);
     void erase(const std::string& key);
--- a/tests/links_service_test.cpp
+++ b/tests/links_service_test.cpp
@@ -88,6 +88,46 @@
                          testing::Values(Mode::RefuseConnections, Mode::HoldData,
                                          Mode::DropResponses));
 
+// Returns how many leadership transfers the controllers have asked for.
+double count_transfers(ServiceFixture& service) {
+    double transfers = 0;
+    for (int i = 0; i < 3; ++i) transfers += metric(service, i, "hand_overs_total");
+    return transfers;
+}
+
+void run_for(ServiceFixture& service, double seconds) {
+    double until = steady_now() + seconds;
+    service.wait_until([&] { return steady_now() > until; });
+}
+
+TEST(LinksService, SuccessorIgnoresCountsOfEarlierTerm) {
+    // Guards against a successor that hands back before its workers arrive, because of old counts.
+    ServiceFixture service(3, faulty_link_options());
+    start_long_tasks(service);
+    auto old_leader = service.leader_name();
+    auto old_token = service.state_service->version("leader");
+    Links links{service};
+    links.peers(Mode::RefuseConnections);
+    links.workers(old_leader.back() - '0', Mode::RefuseConnections);
+    ASSERT_TRUE(service.wait_until(
+        [&] { return !service.leader_name().empty() && service.leader_name() != old_leader; }));
+    auto successor = service.leader_name();
+    // The workers are on their way, and the record of the former leader still has them all.
+    for (auto& [name, worker] : service.cloud->workers) worker->paused = true;
+    service.state_service->put("m/c/" + old_leader, json::object{{"state", true},
+                                                                 {"direct", kTaskCount},
+                                                                 {"reach", kTaskCount},
+                                                                 {"known", 0},
+                                                                 {"token", old_token},
+                                                                 {"hears", json::array{}}});
+    run_for(service, 1.2);
+    for (auto& [name, worker] : service.cloud->workers) worker->paused = false;
+    EXPECT_EQ(service.leader_name(), successor);
+    expect_tasks_ran_once(service, "late workers");
+    EXPECT_EQ(service.leader_name(), successor);
+    EXPECT_EQ(count_transfers(service), 1);
+}
+
 TEST(LinksService, PeerRelaysWhenNoControllerHasAllLinks) {
     ServiceFixture service(3, faulty_link_options());
     start_long_tasks(service);
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -236,6 +236,79 @@
         EXPECT_THROW((void)parse_transfer_record(read::parse(text)), BadMessage) << text;
 }
 
+TEST(LinkPolicy, CountsOfAnotherTermAreNoEvidence) {
+    // Guards against a new leader that hands over because of counts from before its term.
+    auto times = LinkTimeouts::from_settings(test::small_settings());
+    struct Row {
+        const char* name;
+        uint64_t counted_for;
+        LeadingTerm term;
+        bool applies;
+    };
+    const double round_s = times.worker_round_s;
+    const Row rows[] = {
+        {"counted for this term", 11, {11, 0}, true},
+        {"counted for this term, long ago elected", 11, {11, 1000}, true},
+        {"counted for the previous leader", 4, {11, round_s - 0.1}, false},
+        {"still counted for the previous leader", 4, {11, 1000}, false},
+        {"counted for a later leader", 12, {11, 1000}, false},
+        {"counted while there was no leader", 0, {11, round_s - 0.1}, false},
+        {"an older version, after a whole round", 0, {11, round_s}, true},
+    };
+    for (auto& row : rows) {
+        PeerView peer{"b", link_status(true, 900, 900), true};
+        peer.links.leader_token = row.counted_for;
+        auto accepted = peers_counting_for_term(std::vector{peer}, row.term, times);
+        EXPECT_EQ(accepted.size(), row.applies ? 1u : 0u) << row.name;
+        auto successor = preferred_leader(link_status(true, 0, 0), accepted);
+        EXPECT_EQ(successor.has_value(), row.applies) << row.name;
+    }
+}
+
+TEST(LinkPolicy, WorkerRoundCoversControllersThatDoNotAnswer) {
+    // Guards against judging a new leader before workers that no controller answered reach it.
+    for (size_t controllers = 1; controllers <= 5; ++controllers) {
+        auto settings = test::small_settings();
+        settings.peers.resize(controllers - 1);
+        auto times = LinkTimeouts::from_settings(settings);
+        // Protocol, "Workers": the interval is up to a quarter longer; the worker waits for each
+        // response in vain and tries the next controller after a delay. The last one is the leader.
+        double heartbeat_at_s = 1.25 * settings.heartbeat_interval_s;
+        for (size_t tried = 1; tried < controllers; ++tried)
+            heartbeat_at_s += settings.worker_response_timeout_s + settings.worker_failover_delay_s;
+        EXPECT_LE(heartbeat_at_s, times.worker_round_s) << controllers;
+        EXPECT_GE(times.worker_round_s, times.controller_cycle_s) << controllers;
+    }
+}
+
+TEST(WorkerRoster, RelayForFormerLeaderIsNoEvidence) {
+    // Guards against counting workers as lost to a new leader that they have not tried yet.
+    auto settings = test::small_settings();
+    settings.lease_s = 18;
+    WorkerRoster roster(settings);
+    EXPECT_TRUE(roster.should_relay("vm-1", 7, 7, 100));
+    EXPECT_TRUE(roster.should_relay("vm-1", 7, 7, 104));
+    // The worker is redirected to the next leader while the relay would have lasted.
+    EXPECT_FALSE(roster.should_relay("vm-1", 7, 9, 106));
+    EXPECT_EQ(roster.workers_without_leader(9, 10, 106), 0u);
+    EXPECT_EQ(roster.relayed_workers(106), 0u);
+    // It returns after its response timeout, so it can't use that leader either.
+    EXPECT_TRUE(roster.should_relay("vm-1", 7, 9, 112));
+    EXPECT_EQ(roster.workers_without_leader(9, 10, 112), 1u);
+    EXPECT_EQ(roster.relayed_workers(112), 1u);
+}
+
+TEST(LinkRecords, RecordNamesLeaderOfItsCounts) {
+    // Guards against a stale record that counts against a leader it was not about.
+    auto links = link_status(true, 12, 40);
+    links.leader_token = 1ULL << 40;
+    auto txn = link_record_transaction("a", links, 9);
+    EXPECT_EQ(parse_link_record(read::parse(txn.changes[0].value)), links);
+    EXPECT_EQ(parse_link_record(read::parse(R"({"state":true,"direct":3})")).leader_token, 0u);
+    for (const char* text : {R"({"token":-1})", R"({"token":"x"})", R"({"token":1.5})"})
+        EXPECT_THROW((void)parse_link_record(read::parse(text)), BadMessage) << text;
+}
+
 // Every combination of links.
 
 constexpr int kNodes = 3;
