Calls between controllers fail at once when their connection closes

Callers saw: workers that a follower relays wait their whole response time-out at each controller that has lost the leader; users of such a follower wait 2.2 s.

Cause: PeerClient left calls in transit to their time-outs when the connection closed.

Change: as reading from a connection ends, its pending calls get no reply. That still means an unknown outcome.

--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -72,10 +72,30 @@
 
 struct PeerClient::Link {
     std::shared_ptr<PeerConnection> connection;
-    std::map<uint64_t, OneShot<PeerReply>> pending_calls;  // by sequence number
-    double last_reply_at = 0;                              // steady clock
+    // By sequence number. The value is nullopt if the connection closed before the reply came.
+    std::map<uint64_t, OneShot<std::optional<PeerReply>>> pending_calls;
+    double last_reply_at = 0;  // steady clock
+    // No reply can arrive on a closed connection, so no call waits for one any longer.
+    void fail_pending_calls() const {
+        for (const auto& [seq, pending] : pending_calls) pending.set(std::nullopt);
+    }
 };
 
+// Reads replies until the connection closes. Does not keep the link alive.
+asio::awaitable<void> PeerClient::read_replies(std::shared_ptr<PeerConnection> connection,
+                                               std::weak_ptr<Link> weak_link) {
+    PeerConnection::FrameHandler on_frame = [weak_link](peer::Frame::Reader frame) {
+        auto link = weak_link.lock();
+        if (!link || !frame.isReply()) return;
+        link->last_reply_at = steady_now();
+        auto it = link->pending_calls.find(frame.getSeq());
+        if (it == link->pending_calls.end()) return;
+        it->second.set(decode_reply(frame.getReply()));
+    };
+    co_await PeerConnection::read_loop(std::move(connection), std::move(on_frame));
+    if (auto link = weak_link.lock()) link->fail_pending_calls();
+}
+
 PeerClient::PeerClient(asio::io_context& io, Endpoint endpoint, size_t max_queue_bytes)
     : io_(io), endpoint_(std::move(endpoint)), max_queue_bytes_(max_queue_bytes) {}
 
@@ -115,16 +135,7 @@
     set_no_delay(socket);
     auto link = std::make_shared<Link>();
     link->connection = std::make_shared<PeerConnection>(std::move(socket), max_queue_bytes_);
-    auto on_frame = [weak = std::weak_ptr<Link>(link)](peer::Frame::Reader frame) {
-        auto link = weak.lock();
-        if (!link || !frame.isReply()) return;
-        link->last_reply_at = steady_now();
-        auto it = link->pending_calls.find(frame.getSeq());
-        if (it == link->pending_calls.end()) return;
-        it->second.set(decode_reply(frame.getReply()));
-    };
-    asio::co_spawn(io_, PeerConnection::read_loop(link->connection, std::move(on_frame)),
-                   asio::detached);
+    asio::co_spawn(io_, read_replies(link->connection, link), asio::detached);
     link_ = link;
     co_return true;
 }
@@ -135,13 +146,14 @@
     if (!opened || !connected()) co_return std::nullopt;
     auto link = link_;
     const uint64_t seq = next_seq_++;
-    const OneShot<PeerReply> pending(io_.get_executor());
+    const OneShot<std::optional<PeerReply>> pending(io_.get_executor());
     auto frame = encode_call(seq, call);
     link->pending_calls.emplace(seq, pending);
     const double sent_at = steady_now();
     link->connection->send(std::move(frame));
-    auto reply = co_await pending.wait(std::max(kMinReplyTimeout_s, deadline - steady_now()));
+    auto result = co_await pending.wait(std::max(kMinReplyTimeout_s, deadline - steady_now()));
     link->pending_calls.erase(seq);
+    std::optional<PeerReply> reply = std::move(result).value_or(std::nullopt);
     // If no reply at all arrived since the call was sent, a network partition may be blocking the
     // connection, so it is closed and the next call opens a new one. If other calls were answered,
     // the peer is only busy, and closing the connection would lose the calls in transit.
--- a/src/transport/peer_link.h
+++ b/src/transport/peer_link.h
@@ -19,6 +19,8 @@
 // Default limit on the bytes queued for one peer (see max_peer_queue_bytes in config/capacity.h).
 inline constexpr size_t kDefaultMaxPeerQueueBytes = 16 * 1024 * 1024;
 
+class PeerConnection;
+
 // Accepts connections from peers and handles their calls.
 class PeerServer {
   public:
@@ -45,7 +47,8 @@
     // exceed it.
     PeerClient(boost::asio::io_context& io, Endpoint endpoint,
                size_t max_queue_bytes = kDefaultMaxPeerQueueBytes);
-    // Returns nullopt if the peer did not reply in time.
+    // Returns nullopt if the peer did not reply in time or the connection closed. The peer may have
+    // carried out the call all the same.
     boost::asio::awaitable<std::optional<PeerReply>> call(PeerCall call, double timeout_s);
 
   private:
@@ -55,6 +58,8 @@
     // failure or timeout.
     boost::asio::awaitable<bool> connect(double timeout_s);
     boost::asio::awaitable<bool> open_link(double timeout_s);
+    static boost::asio::awaitable<void> read_replies(std::shared_ptr<PeerConnection> connection,
+                                                     std::weak_ptr<Link> weak_link);
 
     boost::asio::io_context& io_;
     Endpoint endpoint_;
