A leader whose transfer failed lets its successor go first

Callers saw two failovers in place of one: a leader without its workers steps down, the key-value store refuses the transfer, and the same leader leads again at once and transfers again.

Cause: after a failed transfer the controller deleted its key without naming a successor, and, as its transfer was stored nowhere, campaigned without delay. A transfer could also be asked for, and counted, twice in a term.

Change: an unconfirmed transfer is repeated under the same condition on the fencing token, a controller keeps its own last transfer in mind, and asks for one a term. New for operators: why a controller campaigns (log line, campaigns_total, campaigns_as_successor_total) and whether transfers are confirmed (hand_overs_confirmed_total, hand_overs_unconfirmed_total).

--- a/src/controller/request_router.cpp
+++ b/src/controller/request_router.cpp
@@ -32,6 +32,10 @@
         leader_tracker_->reset_silence_timer();
     };
     events.campaign_wait = [this] { return membership_->campaign_wait(); };
+    events.on_transfer_sent = [this](bool confirmed) {
+        metrics_.increment(confirmed ? "hand_overs_confirmed_total"
+                                     : "hand_overs_unconfirmed_total");
+    };
     set_up_membership();
     election_ = std::make_unique<Election>(io, settings_, properties_, kv_, std::move(events));
     leader_tracker_ = std::make_unique<LeaderTracker>(*election_);
--- a/src/leadership/election.cpp
+++ b/src/leadership/election.cpp
@@ -83,8 +83,11 @@
     set_leader("", 0);
     // The term ends before the transfer is sent to the key-value store and is never resumed.
     auto term = std::exchange(term_, nullptr);
-    if (auto transfer = term->transferred_to)
-        co_await release_leadership(term->fencing_token, *transfer);
+    unconfirmed_transfer_.reset();
+    if (!term->transferred_to) co_return;
+    TransferRecord transfer = *term->transferred_to;
+    if (!co_await release_leadership(term->fencing_token, std::move(transfer)))
+        unconfirmed_transfer_ = term;
 }
 
 asio::awaitable<bool> Election::watch_leader() {
@@ -97,7 +100,17 @@
 // Without this, users and workers of a controller that restarts within its lease would wait until
 // that lease has ended. The transaction is conditional on the version of the key, so it cannot end
 // a term of another controller.
+//
+// If that term ended with a transfer that was not confirmed, the transfer is repeated, since the
+// successor would not know that it is to campaign first.
 asio::awaitable<bool> Election::release_previous_term() {
+    if (unconfirmed_transfer_ && unconfirmed_transfer_->fencing_token == fencing_token_) {
+        TransferRecord transfer = *unconfirmed_transfer_->transferred_to;
+        if (!co_await release_leadership(fencing_token_, std::move(transfer))) co_return false;
+        unconfirmed_transfer_.reset();
+        set_leader("", 0);
+        co_return true;
+    }
     CasTransaction txn;
     txn.conditions.push_back({kLeaderKey, fencing_token_});
     txn.changes.push_back({kLeaderKey, "", 0});
@@ -185,13 +198,15 @@
     renewal_.wake();
 }
 
-// The response does not matter: the lease is not renewed any more, so it ends in any case.
-asio::awaitable<void> Election::release_leadership(uint64_t fencing_token,
+// Without a response the term has ended all the same, as its lease is not renewed any more.
+asio::awaitable<bool> Election::release_leadership(uint64_t fencing_token,
                                                    TransferRecord transfer) {
     auto txn = transfer_transaction(kLeaderKey, fencing_token, transfer);
     auto result = co_await kv_.txn(txn, kRequestTimeout_s);
     spdlog::info("election: transferred token={} to {}, transfers in short succession={}{}",
                  fencing_token, transfer.to, transfer.count, result ? "" : ", not confirmed");
+    if (events_.on_transfer_sent) events_.on_transfer_sent(static_cast<bool>(result));
+    co_return static_cast<bool>(result);
 }
 
 }  // namespace weirmill
--- a/src/leadership/election.h
+++ b/src/leadership/election.h
@@ -36,6 +36,8 @@
         // Returns how long this controller lets other candidates go first, in seconds. A negative
         // value means that it campaigns at once because it is the successor of a transfer.
         std::function<boost::asio::awaitable<double>()> campaign_wait;
+        // A leadership transfer was sent to the key-value store, which confirmed it or not.
+        std::function<void(bool confirmed)> on_transfer_sent;
     };
     Election(boost::asio::io_context& io, const Settings& settings, const Properties& properties,
              KvClient& kv, Events events);
@@ -63,13 +65,14 @@
     // Starts the term of a campaign that was won although its response was lost. Returns false if
     // the lease of that campaign could not be confirmed.
     boost::asio::awaitable<bool> resume_pending_campaign(uint64_t fencing_token);
-    // Deletes the leader key of an earlier term of this controller. Returns false if the deletion
-    // was not confirmed.
+    // Deletes the leader key of an earlier term of this controller, together with the record of a
+    // transfer if that term ended with one. Returns false if that was not confirmed.
     boost::asio::awaitable<bool> release_previous_term();
     boost::asio::awaitable<void> campaign();
     // Returns the lease for a campaign, or nothing if no lease could be obtained.
     boost::asio::awaitable<std::optional<uint64_t>> campaign_lease();
-    boost::asio::awaitable<void> release_leadership(uint64_t fencing_token,
+    // Sends the transfer to the key-value store. Returns whether it was confirmed.
+    boost::asio::awaitable<bool> release_leadership(uint64_t fencing_token,
                                                     TransferRecord transfer);
     void start_term(uint64_t fencing_token, uint64_t lease, double lease_requested_at);
     void set_leader(const std::string& leader, uint64_t fencing_token);
@@ -85,6 +88,8 @@
     // Lease of a campaign whose outcome is unknown; 0 if there is none.
     uint64_t pending_campaign_lease_ = 0;
     std::shared_ptr<LeadershipTerm> term_;
+    std::shared_ptr<const LeadershipTerm>
+        unconfirmed_transfer_;  // term that ended with it, or null
     LeaseRenewal renewal_;
 };
 
--- a/src/leadership/leadership_transfer.cpp
+++ b/src/leadership/leadership_transfer.cpp
@@ -42,6 +42,12 @@
     return {std::move(from), std::move(to), stable ? 1 : last.count + 1, wall_time};
 }
 
+TransferRecord later_transfer(const TransferRecord& stored, const TransferRecord& requested) {
+    bool requested_later =
+        requested.count > 0 && (stored.count == 0 || requested.time_wall > stored.time_wall);
+    return requested_later ? requested : stored;
+}
+
 double transfer_campaign_wait(const std::string& self, const TransferRecord& last,
                               double max_clock_error_s, double wall_time) {
     bool recent = last.count > 0 &&
--- a/src/leadership/leadership_transfer.h
+++ b/src/leadership/leadership_transfer.h
@@ -29,6 +29,11 @@
 [[nodiscard]] TransferRecord next_transfer(const TransferRecord& last, double min_pause_s,
                                            std::string from, std::string to, double wall_time);
 
+// Returns the later of the stored transfer and the last one that this controller asked for. The
+// latter is not stored if its transaction failed.
+[[nodiscard]] TransferRecord later_transfer(const TransferRecord& stored,
+                                            const TransferRecord& requested);
+
 // Returns how long controller `self` lets other candidates go first after the transfer `last`, in
 // seconds. The value is negative if `self` is the successor and campaigns at once, and 0 if there
 // was no recent transfer.
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -120,8 +120,11 @@
 asio::awaitable<void> Membership::read_transfer_record(double timeout_s) {
     auto item = co_await kv_.get(kTransferKey, timeout_s);
     try {
-        if (item) last_transfer_ = parse_transfer_record(item.value.value);
-        if (item.outcome == KvOutcome::Missing) last_transfer_ = {};
+        if (item)
+            last_transfer_ =
+                later_transfer(parse_transfer_record(item.value.value), requested_transfer_);
+        if (item.outcome == KvOutcome::Missing)
+            last_transfer_ = later_transfer({}, requested_transfer_);
     } catch (const BadMessage& e) {
         spdlog::error("links: malformed record {}: {}", kTransferKey, e.what());
     }
@@ -196,8 +199,10 @@
 bool Membership::candidate_is_stable(double now) {
     auto term = hooks_.leading_term();
     std::optional<std::string> preferred;
-    // A new leader's own counts are too low until each worker has had time to report to it.
-    if (term && term->led_s >= times().controller_cycle_s)
+    // A term that is to end with a transfer continues until the leader's open work is complete. A
+    // new leader's own counts are too low until each worker has had time to report to it.
+    if (term && term->fencing_token != transferred_term_ &&
+        term->led_s >= times().controller_cycle_s)
         preferred = preferred_leader(own_links(now),
                                      peers_counting_for_term(peer_views(now), *term, times()));
     if (!preferred) {
@@ -231,17 +236,32 @@
         candidate_, own.direct_workers, own.reachable_workers, own.known_workers,
         theirs->direct_workers, theirs->reachable_workers);
     metrics_.increment("hand_overs_total");
-    hooks_.transfer_leadership(next_transfer(last_transfer_, times().transfer_pause_s,
-                                             settings_.name, candidate_, wall_time));
+    requested_transfer_ = next_transfer(last_transfer_, times().transfer_pause_s, settings_.name,
+                                        candidate_, wall_time);
+    last_transfer_ = requested_transfer_;
+    transferred_term_ = term->fencing_token;
     candidate_.clear();
+    hooks_.transfer_leadership(requested_transfer_);
 }
 
 asio::awaitable<double> Membership::campaign_wait() {
     if (!enabled()) co_return 0;
     co_await read_transfer_record(kCampaignReadTimeout_s);
     double now = steady_now();
-    co_return weirmill::campaign_wait(settings_.name, own_links(now), peer_views(now),
-                                      last_transfer_, settings_.clock_off_ms / 1000, wall_now());
+    auto own = own_links(now);
+    double wall_time = wall_now();
+    double wait_s = weirmill::campaign_wait(settings_.name, own, peer_views(now), last_transfer_,
+                                            settings_.clock_off_ms / 1000, wall_time);
+    bool as_successor = wait_s < 0;
+    metrics_.increment("campaigns_total");
+    if (as_successor) metrics_.increment("campaigns_as_successor_total");
+    spdlog::info(
+        "links: {} campaigns {} after {:.2f}s: own workers direct={} reachable={}, last transfer "
+        "from={} to={} {:.1f}s ago",
+        settings_.name, as_successor ? "as successor" : "in an open election",
+        std::max(0.0, wait_s), own.direct_workers, own.reachable_workers, last_transfer_.from,
+        last_transfer_.to, last_transfer_.count > 0 ? wall_time - last_transfer_.time_wall : 0);
+    co_return wait_s;
 }
 
 void Membership::add_gauges(std::map<std::string, double>& out) const {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -83,10 +83,12 @@
     Metrics& metrics_;
     Hooks hooks_;
     std::map<std::string, Peer> peers_;
-    TransferRecord last_transfer_;  // as last read from the key-value store
-    uint64_t record_lease_ = 0;     // lease of this controller's link record; 0: none
-    LinkStatus published_;          // contents of the link record as last written
-    std::string candidate_;         // the preferred leader; empty: none
+    TransferRecord last_transfer_;       // the latest known one, stored or requested
+    TransferRecord requested_transfer_;  // the last one that this controller asked for
+    uint64_t transferred_term_ = 0;      // fencing token of the term that is to end with it
+    uint64_t record_lease_ = 0;          // lease of this controller's link record; 0: none
+    LinkStatus published_;               // contents of the link record as last written
+    std::string candidate_;              // the preferred leader; empty: none
     double candidate_since_ = 0;
 };
 
--- a/tests/links_service_test.cpp
+++ b/tests/links_service_test.cpp
@@ -128,6 +128,36 @@
     EXPECT_EQ(count_transfers(service), 1);
 }
 
+TEST(LinksService, FailedTransferIsNotFollowedByOwnCampaign) {
+    // Guards against a leader that leads again after its transfer was refused, and transfers again.
+    ServiceFixture service(3, faulty_link_options());
+    start_long_tasks(service);
+    int old_leader = service.leader_name().back() - '0';
+    Links links{service};
+    service.state_service->refuse_deletes = true;
+    links.peers(Mode::RefuseConnections);
+    links.workers(old_leader, Mode::DropResponses);
+    ASSERT_TRUE(service.wait_until([&] {
+        return metric(service, old_leader, "hand_overs_unconfirmed_total") == 1 ||
+               metric(service, old_leader, "hand_overs_total") == 1;
+    }));
+    // The other controllers learn late that the leader key is deleted.
+    auto set_others = [&](Mode mode) {
+        for (int i = 0; i < 3; ++i)
+            if (i != old_leader) links.state(i, mode);
+    };
+    set_others(Mode::HoldData);
+    service.state_service->refuse_deletes = false;
+    ASSERT_TRUE(service.wait_until([&] { return service.leader_name().empty(); }));
+    run_for(service, 0.5);
+    set_others(Mode::PassThrough);
+    ASSERT_TRUE(service.wait_until([&] {
+        return !service.leader_name().empty() && service.leader_name().back() - '0' != old_leader;
+    }));
+    expect_tasks_ran_once(service, "failed transfer");
+    EXPECT_EQ(metric(service, old_leader, "hand_overs_total"), 1);
+}
+
 TEST(LinksService, PeerRelaysWhenNoControllerHasAllLinks) {
     ServiceFixture service(3, faulty_link_options());
     start_long_tasks(service);
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -119,6 +119,16 @@
               1u);
 }
 
+TEST(LeadershipTransfer, LaterTransferCounts) {
+    // Guards against a controller that forgets a transfer of its own that was never stored.
+    TransferRecord none, earlier{"c", "a", 1, 1e9}, later{"a", "b", 2, 1e9 + 30};
+    EXPECT_EQ(later_transfer(none, none), none);
+    EXPECT_EQ(later_transfer(none, later), later);
+    EXPECT_EQ(later_transfer(earlier, none), earlier);
+    EXPECT_EQ(later_transfer(earlier, later), later);
+    EXPECT_EQ(later_transfer(later, earlier), later);
+}
+
 TEST(LinkPolicy, SuccessorCampaignsFirst) {
     TransferRecord to_b{"a", "b", 1, 1e9};
     std::vector<PeerView> c_reaches_workers{{"c", link_status(true, 900, 900), true}}, no_peers;
