The pause between transfers gives way to leases at stake

Cause: the pause doubles with each transfer in short succession, up to 32 times, and nothing bounds it by the leases that expire meanwhile.

Change: transfer_delay() takes the leases that no path renews. If most workers are unreached and the rest of the pause would leave a successor no time to answer them, only one worker's cycle must have passed since the last transfer, so flapping links move the leadership at most once per cycle. A transfer record from the future beyond the clocks' error is ignored; it forbade transfers until then. New: a log line for a transfer that is held back, gauges workers_unreached and first_lease_expiry_seconds.

--- a/src/controller/request_router.cpp
+++ b/src/controller/request_router.cpp
@@ -72,6 +72,11 @@
         if (!leader_ || !leader_->ready() || !leader_->lease_valid(now)) return std::nullopt;
         return LeadingTerm{term_->fencing_token, now - term_->won_at};
     };
+    hooks.leases_at_stake = [this] {
+        if (!leader_) return LeasesAtStake{};
+        return leases_at_stake(leader_->cluster(), membership_->times(), settings_.lease_s,
+                               steady_now());
+    };
     hooks.transfer_leadership = [this](const TransferRecord& to) {
         leader_->transfer_leadership([this, to, term = std::weak_ptr(term_)] {
             if (auto held = term.lock(); held && held == term_) election_->step_down(to);
--- a/src/leadership/leadership_transfer.cpp
+++ b/src/leadership/leadership_transfer.cpp
@@ -27,12 +27,34 @@
     return min_pause_s * std::pow(2.0, std::min(last.count - 1, kMaxPauseDoublings));
 }
 
+// Returns how long a pause of `pause_s` after the transfer `last` still lasts, in seconds.
+double remaining_pause(const TransferRecord& last, double pause_s, double max_clock_error_s,
+                       double wall_time) {
+    const double tolerance_s = 2 * max_clock_error_s;
+    bool from_future = last.time_wall > wall_time + tolerance_s;
+    if (last.count == 0 || from_future) return 0;
+    return std::max(0.0, pause_s + tolerance_s - (wall_time - last.time_wall));
+}
+
+bool most_are_unreached(const LeasesAtStake& leases) {
+    return 2 * leases.unreached_workers >= leases.known_workers;
+}
+
 }  // namespace
 
+double transfer_delay(const TransferRecord& last, const TransferLimits& limits,
+                      const LeasesAtStake& leases, double wall_time) {
+    const double delay_s = remaining_pause(last, pause_after(last, limits.min_pause_s),
+                                           limits.max_clock_error_s, wall_time);
+    bool renewed_in_time = leases.first_expiry_s - delay_s >= limits.failover_s;
+    if (!most_are_unreached(leases) || renewed_in_time) return delay_s;
+    return std::min(
+        delay_s, remaining_pause(last, limits.urgent_pause_s, limits.max_clock_error_s, wall_time));
+}
+
 bool may_transfer(const TransferRecord& last, double min_pause_s, double max_clock_error_s,
                   double wall_time) {
-    return last.count == 0 ||
-           wall_time - last.time_wall > pause_after(last, min_pause_s) + 2 * max_clock_error_s;
+    return remaining_pause(last, pause_after(last, min_pause_s), max_clock_error_s, wall_time) == 0;
 }
 
 TransferRecord next_transfer(const TransferRecord& last, double min_pause_s, std::string from,
--- a/src/leadership/leadership_transfer.h
+++ b/src/leadership/leadership_transfer.h
@@ -20,9 +20,29 @@
     bool operator==(const TransferRecord&) const = default;
 };
 
-// Returns whether another transfer may follow at `wall_time`. `min_pause_s` is the pause after a
-// single transfer; it doubles with each transfer that follows in short succession. The wall clock
-// of each controller is off by at most `max_clock_error_s`.
+// What a leader risks by keeping the leadership: the leases of the workers that it can't renew.
+struct LeasesAtStake {
+    uint32_t known_workers = 0;      // workers whose lease is valid, as far as the leader knows
+    uint32_t unreached_workers = 0;  // those of them that no path has reached lately
+    double first_expiry_s = 0;       // time until the first lease of an unreached worker expires
+};
+
+// Limits of how soon a transfer may follow another, in seconds.
+struct TransferLimits {
+    double min_pause_s;        // after a single transfer; doubles with each one in short succession
+    double urgent_pause_s;     // after any transfer, while leases are at stake
+    double failover_s;         // from a transfer until the successor has answered every worker
+    double max_clock_error_s;  // of the wall clock of each controller
+};
+
+// Returns for how many seconds a transfer must still wait at `wall_time`, 0 if it may be sent. The
+// pause since the last transfer bounds how often unstable links move the leadership. If the leader
+// can't renew most of its workers and the rest of the pause would not leave a successor the time to
+// renew the first of their leases, only `urgent_pause_s` applies. A record from the future, beyond
+// the error of the clocks, is ignored.
+[[nodiscard]] double transfer_delay(const TransferRecord& last, const TransferLimits& limits,
+                                    const LeasesAtStake& leases, double wall_time);
+// Returns whether another transfer may follow at `wall_time` if no leases are at stake.
 [[nodiscard]] bool may_transfer(const TransferRecord& last, double min_pause_s,
                                 double max_clock_error_s, double wall_time);
 // Returns the record of a transfer at `wall_time` that follows `last`.
--- a/src/membership/link_policy.cpp
+++ b/src/membership/link_policy.cpp
@@ -9,6 +9,8 @@
 
 // Maximum time between two heartbeats, as a multiple of their interval.
 constexpr double kMaxIntervalFactor = 1.25;
+// Time from a transfer until the successor has won, read the log and accepts requests.
+constexpr double kTakeover_s = 2;
 // A difference of up to a twentieth of the workers is ignored.
 constexpr uint32_t kToleranceDivisor = 20;
 // Delay of a campaign while another candidate reaches far more workers.
@@ -47,6 +49,7 @@
                        (s.worker_response_timeout_s + s.worker_failover_delay_s) * controllers;
     t.min_preference_s = 0.3 * s.heartbeat_interval_s;
     t.transfer_pause_s = 3 * s.heartbeat_interval_s;
+    t.failover_s = kTakeover_s + t.worker_round_s;
     t.view_expiry_s = 3 * s.ping_interval_s;
     return t;
 }
--- a/src/membership/link_policy.h
+++ b/src/membership/link_policy.h
@@ -17,13 +17,20 @@
 // Times in seconds that follow from the platform's settings and the protocol ("Workers": a worker
 // waits 4 s for a response and tries the next controller 1 s later).
 struct LinkTimeouts {
-    double direct_heartbeat_s;  // maximum time between heartbeats of a worker that uses no relay
-    double
-        controller_cycle_s;   // a worker that one controller does not answer has tried all in this
-    double worker_round_s;    // a worker that no controller answers has tried all within this
-    double min_preference_s;  // how long another leader must be preferred before a transfer
-    double transfer_pause_s;  // between transfers; doubles with each one in short succession
-    double view_expiry_s;     // how long the links that a peer reported remain valid
+    // Maximum time between heartbeats of a worker that uses no relay.
+    double direct_heartbeat_s;
+    // Within this, a worker that one controller does not answer has tried all others.
+    double controller_cycle_s;
+    // Within this, a worker that no controller answers has tried all of them.
+    double worker_round_s;
+    // How long another leader must be preferred before a transfer.
+    double min_preference_s;
+    // Pause between two transfers; it doubles with each one in short succession.
+    double transfer_pause_s;
+    // Time from a transfer until the successor has answered every worker.
+    double failover_s;
+    // How long the links that a peer reported remain valid.
+    double view_expiry_s;
     static LinkTimeouts from_settings(const Settings& s);
 };
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -23,6 +23,7 @@
 constexpr double kRecordLeasePingIntervals = 4;
 constexpr double kMinRecordLease_s = 0.1;  // protocol, "POST /leases"
 constexpr int kMaxLinkRecords = 100;
+constexpr double kDelayLogInterval_s = 10;  // between log lines about a transfer that must wait
 // A link record is updated when a count has changed by more than a tenth.
 constexpr uint32_t kChangeDivisor = 10;
 
@@ -54,6 +55,24 @@
     return links;
 }
 
+LeasesAtStake leases_at_stake(const ClusterState& cluster, const LinkTimeouts& times,
+                              double lease_s, double now) {
+    LeasesAtStake leases;
+    double first_expiry_s = lease_s;
+    for (auto& machine : cluster.machines) {
+        if (!machine || machine->last_heartbeat <= 0) continue;
+        double silent_s = now - machine->last_heartbeat;
+        if (silent_s >= lease_s) continue;
+        ++leases.known_workers;
+        if (silent_s < times.direct_heartbeat_s) continue;
+        ++leases.unreached_workers;
+        first_expiry_s = std::min(first_expiry_s, lease_s - silent_s);
+    }
+    // Workers that this leader has not heard may hold leases of an earlier term.
+    leases.first_expiry_s = leases.known_workers > 0 ? first_expiry_s : 0;
+    return leases;
+}
+
 Membership::Membership(asio::io_context& io, const Settings& settings, const Properties& properties,
                        KvClient& kv, Metrics& metrics, Hooks hooks)
     : io_(io),
@@ -216,6 +235,24 @@
     return now - candidate_since_ >= times().min_preference_s;
 }
 
+double Membership::hold_back_transfer(double wall_time) {
+    const auto limits = TransferLimits{times().transfer_pause_s, times().controller_cycle_s,
+                                       times().failover_s, settings_.clock_off_ms / 1000};
+    const auto leases = hooks_.leases_at_stake();
+    const double delay_s = transfer_delay(last_transfer_, limits, leases, wall_time);
+    double now = steady_now();
+    if (delay_s > 0 && now >= next_delay_log_at_) {
+        next_delay_log_at_ = now + kDelayLogInterval_s;
+        spdlog::info(
+            "links: transfer to {} is held back for {:.1f}s, {} transfers in short succession: {} "
+            "of "
+            "{} workers not reached, the first lease expires in {:.1f}s",
+            candidate_, delay_s, last_transfer_.count, leases.unreached_workers,
+            leases.known_workers, leases.first_expiry_s);
+    }
+    return delay_s;
+}
+
 asio::awaitable<void> Membership::consider_transfer(double now) {
     auto term = hooks_.leading_term();
     if (!candidate_is_stable(now)) co_return;
@@ -223,9 +260,7 @@
     co_await read_transfer_record(kRequestTimeout_s);
     if (!reaches_kv(steady_now())) co_return;
     double wall_time = wall_now();
-    if (!may_transfer(last_transfer_, times().transfer_pause_s, settings_.clock_off_ms / 1000,
-                      wall_time))
-        co_return;
+    if (hold_back_transfer(wall_time) > 0) co_return;
     auto current = hooks_.leading_term();
     if (!current || current->fencing_token != term->fencing_token || candidate_.empty()) co_return;
     auto theirs = peer_links(candidate_, now);
@@ -271,6 +306,11 @@
     out["workers_direct"] = own.direct_workers;
     out["workers_reached"] = own.reachable_workers;
     out["workers_known"] = own.known_workers;
+    if (hooks_.leading_term()) {
+        auto leases = hooks_.leases_at_stake();
+        out["workers_unreached"] = leases.unreached_workers;
+        if (leases.unreached_workers > 0) out["first_lease_expiry_seconds"] = leases.first_expiry_s;
+    }
     for (auto& [name, peer] : peers_) {
         out[fmt::format("peer_heard{{peer=\"{}\"}}", name)] = is_recent(peer.contact_at, now);
         out[fmt::format("peer_answers_lost{{peer=\"{}\"}}", name)] =
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -22,6 +22,10 @@
 [[nodiscard]] LinkStatus leader_links(const ClusterState& cluster, const LinkTimeouts& times,
                                       double lease_s, double now);
 
+// Returns the leases of a leader's workers that no path renews at present.
+[[nodiscard]] LeasesAtStake leases_at_stake(const ClusterState& cluster, const LinkTimeouts& times,
+                                            double lease_s, double now);
+
 class Membership {
   public:
     struct Hooks {
@@ -30,6 +34,8 @@
         std::function<LinkStatus()> worker_counts;
         // Returns the term of this controller, or nothing if it does not lead with a valid lease.
         std::function<std::optional<LeadingTerm>()> leading_term;
+        // Returns the leases that this controller, which leads, does not renew.
+        std::function<LeasesAtStake()> leases_at_stake;
         std::function<void(TransferRecord)> transfer_leadership;
     };
     Membership(boost::asio::io_context& io, const Settings& settings, const Properties& properties,
@@ -72,6 +78,8 @@
     // expired is reset.
     boost::asio::awaitable<bool> renew_record_lease();
     boost::asio::awaitable<void> consider_transfer(double now);
+    // Returns for how long a transfer must wait at `wall_time`, in seconds, and logs it.
+    double hold_back_transfer(double wall_time);
     // Sets `candidate_` to the leader preferred now. Returns whether it has been preferred for long
     // enough.
     bool candidate_is_stable(double now);
@@ -90,6 +98,7 @@
     LinkStatus published_;               // contents of the link record as last written
     std::string candidate_;              // the preferred leader; empty: none
     double candidate_since_ = 0;
+    double next_delay_log_at_ = 0;
 };
 
 }  // namespace weirmill
--- a/tests/links_service_test.cpp
+++ b/tests/links_service_test.cpp
@@ -128,6 +128,24 @@
     EXPECT_EQ(count_transfers(service), 1);
 }
 
+TEST(LinksService, LeaderStepsDownBeforeWorkerLeasesExpire) {
+    // Guards against a pause between transfers that outlasts the leases of the lost workers.
+    ServiceFixture service(3, faulty_link_options());
+    start_long_tasks(service);
+    auto old_leader = service.leader_name();
+    // After six transfers in short succession the pause is 9.6 s, and the leases last 6 s.
+    service.state_service->put(
+        "m/yield",
+        json::object{{"from", "node-9"}, {"to", old_leader}, {"count", 6}, {"at", wall_now()}});
+    Links links{service};
+    links.peers(Mode::RefuseConnections);
+    links.workers(old_leader.back() - '0', Mode::RefuseConnections);
+    EXPECT_TRUE(service.wait_until(
+        [&] { return !service.leader_name().empty() && service.leader_name() != old_leader; }));
+    expect_tasks_ran_once(service, "step down within a pause");
+    EXPECT_EQ(metric(service, old_leader.back() - '0', "hand_overs_total"), 1);
+}
+
 TEST(LinksService, FailedTransferIsNotFollowedByOwnCampaign) {
     // Guards against a leader that leads again after its transfer was refused, and transfers again.
     ServiceFixture service(3, faulty_link_options());
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -119,6 +119,92 @@
               1u);
 }
 
+TEST(LeadershipTransfer, PauseYieldsToLeasesAtStake) {
+    // Guards against a pause between transfers during which all leases of the workers expire.
+    const TransferLimits limits{24, 17, 27, 0.25};
+    const double lease_s = 45, wall_time = 1e9;
+    const LeasesAtStake none_lost{1607, 0, lease_s}, all_lost{1607, 1607, 32},
+        half_lost{1000, 499, 1}, known_none{0, 0, 0};
+    struct Row {
+        const char* name;
+        uint32_t count;
+        double since_last_s;
+        LeasesAtStake leases;
+        double min_delay_s, max_delay_s;
+    };
+    const Row rows[] = {
+        {"no transfer before", 0, 0, all_lost, 0, 0},
+        {"after one transfer, nothing at stake", 1, 10, none_lost, 14, 14.5},
+        {"third transfer in succession 37 s ago", 3, 37, all_lost, 0, 0},
+        {"the same, nothing at stake", 3, 37, none_lost, 59, 59.5},
+        {"the same, most workers reached", 3, 37, half_lost, 59, 59.5},
+        {"no worker has reported yet", 3, 37, known_none, 0, 0},
+        {"all lost just after a transfer", 3, 5, all_lost, 12, 12.5},
+        {"the pause leaves enough time", 1, 20, {1607, 1607, 44}, 4, 4.5},
+        {"a record with the largest count", 1000, 20, all_lost, 0, 0},
+        {"a record from the future", 3, -3600, none_lost, 0, 0},
+        {"a clock that is ahead within its error", 1, -0.4, none_lost, 24, 25},
+    };
+    for (auto& row : rows) {
+        TransferRecord last{"a", "b", row.count, wall_time - row.since_last_s};
+        double delay_s = transfer_delay(last, limits, row.leases, wall_time);
+        EXPECT_GE(delay_s, row.min_delay_s) << row.name;
+        EXPECT_LE(delay_s, row.max_delay_s) << row.name;
+    }
+}
+
+TEST(LeadershipTransfer, SuccessorAnswersBeforeLeasesExpire) {
+    // Guards against stepping down too late, whatever transfers came before, and against flapping.
+    auto settings = test::small_settings();
+    settings.lease_s = 45;
+    settings.heartbeat_interval_s = 8;
+    settings.peers.resize(2);
+    auto times = LinkTimeouts::from_settings(settings);
+    const TransferLimits limits{times.transfer_pause_s, times.controller_cycle_s, times.failover_s,
+                                0.25};
+    const double detected_after_s = times.direct_heartbeat_s + times.min_preference_s;
+    for (uint32_t count = 0; count <= 6; ++count)
+        // The workers are answered until `lost_at_s` after the transfer, and then lost.
+        for (double lost_at_s = 0; lost_at_s < 1000; lost_at_s += 1) {
+            double now = lost_at_s + detected_after_s;
+            TransferRecord last{"a", "b", count, 1e9};
+            LeasesAtStake leases{1000, 1000, settings.lease_s - detected_after_s};
+            double delay_s = transfer_delay(last, limits, leases, 1e9 + now);
+            EXPECT_GE(leases.first_expiry_s - delay_s, times.failover_s)
+                << count << " " << lost_at_s;
+        }
+    // Links that are lost for each leader in turn move the leadership at most four times a minute.
+    TransferRecord last;
+    int transfers = 0;
+    for (double at_s = 0; at_s < 60; at_s += 0.1) {
+        if (transfer_delay(last, limits, {1000, 1000, 0}, 1e9 + at_s) > 0) continue;
+        last = next_transfer(last, limits.min_pause_s, "a", "b", 1e9 + at_s);
+        ++transfers;
+    }
+    EXPECT_LE(transfers, 4);
+}
+
+TEST(Membership, LeasesAtStakeAreThoseOfSilentWorkers) {
+    // Guards against a pause that is judged by the wrong workers or the wrong lease.
+    test::ClusterFixture w;
+    auto times = LinkTimeouts::from_settings(w.settings);
+    auto stake = [&] { return leases_at_stake(w.cluster, times, w.settings.lease_s, w.now); };
+    EXPECT_EQ(stake().known_workers, 0u);
+    EXPECT_EQ(stake().first_expiry_s, 0);
+    const double silent_for_s[] = {0, 0.5, times.direct_heartbeat_s + 1, w.settings.lease_s - 2,
+                                   w.settings.lease_s + 1};
+    int n = 0;
+    for (double silent_s : silent_for_s) {
+        auto i = w.add_machine("vm-" + std::to_string(n++));
+        w.cluster.machines[i]->last_heartbeat = w.now - silent_s;
+    }
+    auto& never_heard = *w.cluster.machines[w.add_machine("vm-never")];
+    never_heard.last_heartbeat = 0;
+    EXPECT_EQ(stake().known_workers, 4u);
+    EXPECT_EQ(stake().unreached_workers, 2u);
+    EXPECT_NEAR(stake().first_expiry_s, 2, 1e-6);
+}
+
 TEST(LeadershipTransfer, LaterTransferCounts) {
     // Guards against a controller that forgets a transfer of its own that was never stored.
     TransferRecord none, earlier{"c", "a", 1, 1e9}, later{"a", "b", 2, 1e9 + 30};
