KNOWN-RED: a leader whose answers to workers are lost keeps the leadership

New case, at the protocol's ratio of heartbeat interval, response time-out and failover delay (8 : 4 : 1): the leader's links to workers drop responses while controllers refuse each other. It never hands over, and all tasks are killed by their leases and started again.

Cause as far as known: the leader counts a worker as reached while its heartbeats arrive. One that gets no answer tries the others, is told 421 at once and is back after 7 s, within the window of 13 s.

--- a/tests/fakes/fakes.cpp
+++ b/tests/fakes/fakes.cpp
@@ -338,8 +338,11 @@
 
 asio::awaitable<void> Worker::heartbeat_loop(std::shared_ptr<Worker> self) {
     size_t controller = 0;
+    bool failed = false;  // the last heartbeat was not answered with 200
     while (!dead_) {
-        co_await sleep_s(cloud_.settings.heartbeat_interval_s);
+        co_await sleep_s(failed && cloud_.workers_retry_soon
+                             ? cloud_.settings.worker_failover_delay_s
+                             : cloud_.settings.heartbeat_interval_s);
         update_tasks();
         if (dead_ || unreachable || paused || uplink_lost || cloud_.controllers.empty()) continue;
         if (only_controller >= 0) controller = static_cast<size_t>(only_controller);
@@ -367,6 +370,7 @@
             reply.reset();  // the request has timed out by the time that the worker goes on
         while (paused && !dead_) co_await sleep_s(0.01);
         if (dead_ || unreachable) continue;
+        failed = !reply || reply->status != 200;
         if (downlink_lost) {
             ++controller;
             co_await sleep_s(cloud_.settings.worker_failover_delay_s);
--- a/tests/fakes/fakes.h
+++ b/tests/fakes/fakes.h
@@ -166,6 +166,9 @@
     std::set<std::string> provision_requests;
     std::map<std::string, double> team_cpu_limits;  // limit on the CPUs in use, by team
     bool hold_launches = false;  // workers receive commands without executing them
+    // After a heartbeat that failed, workers try the next controller after worker_failover_delay_s,
+    // as the protocol says, and not after a heartbeat interval.
+    bool workers_retry_soon = false;
     const Settings& settings;
     // Returns whether a live worker runs a task of the job.
     bool is_running(const std::string& job) const;
--- a/tests/links_service_test.cpp
+++ b/tests/links_service_test.cpp
@@ -146,6 +146,30 @@
     EXPECT_EQ(metric(service, old_leader.back() - '0', "hand_overs_total"), 1);
 }
 
+class ProtocolRatioLinkFault : public testing::TestWithParam<Mode> {};
+
+TEST_P(ProtocolRatioLinkFault, LeaderWithoutWorkersHandsOver) {
+    // Guards against a leader that takes heartbeats whose answers are lost for workers it reaches.
+    auto options = faulty_link_options();
+    options.protocol_ratios = true;
+    ServiceFixture service(3, options);
+    start_long_tasks(service);
+    int old_leader = service.leader_name().back() - '0';
+    run_for(service, 1);
+    Links links{service};
+    links.peers(Mode::RefuseConnections);
+    links.workers(old_leader, GetParam());
+    EXPECT_TRUE(service.wait_until([&] {
+        return !service.leader_name().empty() && service.leader_name().back() - '0' != old_leader;
+    }));
+    expect_tasks_ran_once(service, "leader without workers");
+    EXPECT_EQ(metric(service, old_leader, "hand_overs_total"), 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(Links, ProtocolRatioLinkFault,
+                         testing::Values(Mode::RefuseConnections, Mode::HoldData,
+                                         Mode::DropResponses));
+
 TEST(LinksService, FailedTransferIsNotFollowedByOwnCampaign) {
     // Guards against a leader that leads again after its transfer was refused, and transfers again.
     ServiceFixture service(3, faulty_link_options());
--- a/tests/service_fixture.h
+++ b/tests/service_fixture.h
@@ -40,6 +40,9 @@
         // Enables membership and puts a FaultyLink into each connection between processes. The
         // lease of the workers is 6 s instead of 2 s.
         bool faulty_links = false;
+        // Heartbeat interval, response timeout and failover delay of the workers have the ratios of
+        // the protocol (8 s, 4 s and 1 s). Only with `faulty_links`.
+        bool protocol_ratios = false;
         double election_lease_s = 1.5;
         double worker_timeout_s = 4;         // how long a worker waits for a response
         std::set<int> without_membership{};  // controllers of a version without link records
@@ -76,6 +79,10 @@
             base_settings.worker_failover_delay_s = 0.1;
             base_settings.ping_interval_s = 0.1;
         }
+        if (options.protocol_ratios) {
+            base_settings.heartbeat_interval_s = 8 * base_settings.worker_failover_delay_s;
+            cloud->workers_retry_soon = true;
+        }
         for (int i = 0; i < count; ++i) add_node(i, options);
         for (int i = 0; i < count; ++i)
             for (int k = 0; k < count; ++k)
