--- a/src/leadership/election.cpp
+++ b/src/leadership/election.cpp
@@ -83,11 +83,12 @@
     set_leader("", 0);
     // The term ends before the transfer is sent to the key-value store and is never resumed.
     auto term = std::exchange(term_, nullptr);
-    unconfirmed_transfer_.reset();
-    if (!term->transferred_to) co_return;
-    TransferRecord transfer = *term->transferred_to;
-    if (!co_await release_leadership(term->fencing_token, std::move(transfer)))
-        unconfirmed_transfer_ = term;
+    unconfirmed_term_ = 0;
+    if (auto transfer = term->transferred_to) {
+        unconfirmed_transfer_ = *transfer;
+        bool confirmed = co_await release_leadership(term->fencing_token, *transfer);
+        if (!confirmed) unconfirmed_term_ = term->fencing_token;
+    }
 }
 
 asio::awaitable<bool> Election::watch_leader() {
@@ -104,10 +105,9 @@
 // If that term ended with a transfer that was not confirmed, the transfer is repeated, since the
 // successor would not know that it is to campaign first.
 asio::awaitable<bool> Election::release_previous_term() {
-    if (unconfirmed_transfer_ && unconfirmed_transfer_->fencing_token == fencing_token_) {
-        TransferRecord transfer = *unconfirmed_transfer_->transferred_to;
-        if (!co_await release_leadership(fencing_token_, std::move(transfer))) co_return false;
-        unconfirmed_transfer_.reset();
+    if (unconfirmed_term_ != 0 && unconfirmed_term_ == fencing_token_) {
+        if (!co_await release_leadership(unconfirmed_term_, unconfirmed_transfer_)) co_return false;
+        unconfirmed_term_ = 0;
         set_leader("", 0);
         co_return true;
     }
--- a/src/leadership/election.h
+++ b/src/leadership/election.h
@@ -88,8 +88,10 @@
     // Lease of a campaign whose outcome is unknown; 0 if there is none.
     uint64_t pending_campaign_lease_ = 0;
     std::shared_ptr<LeadershipTerm> term_;
-    std::shared_ptr<const LeadershipTerm>
-        unconfirmed_transfer_;  // term that ended with it, or null
+    // Fencing token of the term whose transfer was not confirmed, 0 if there is none, and the
+    // transfer.
+    uint64_t unconfirmed_term_ = 0;
+    TransferRecord unconfirmed_transfer_;
     LeaseRenewal renewal_;
 };
 
