A worker that leaves after answered heartbeats does not count as reached

Callers saw: the answers of the leader to its workers are lost on its link, controllers refuse each other, and the leader never hands over. After lease_s all tasks are killed, and nothing runs.

Cause: a worker counted as reached while its heartbeats arrived. Without an answer it is back after 7 s (time-out 4 s, 1 s a controller), within the window of 13 s.

Change: sequence numbers show whether a worker stayed after an answer. After two departures in a row it is not counted in the links that decide who leads, and its lease counts from the last answer that it did not leave after. Placement and proofs of an end do not use it. For a lease's time after commands, which take sequence numbers too, the count stays as it was.

--- a/src/controller/heartbeat_handler.cpp
+++ b/src/controller/heartbeat_handler.cpp
@@ -165,6 +165,8 @@
     DownlinkObservation observation{{heartbeat.agent_epoch, heartbeat.seq},
                                     machine.saw_fencing_token,
                                     machine.relayed_by.empty()};
+    // A command that is held up on its way may be carried out late.
+    observation.commands_sent = context_.now - machine.commands_sent_at < context_.settings.lease_s;
     for (auto& ref : machine.tasks) {
         auto& job = *context_.cluster.jobs[ref.job];
         auto& task = job.tasks[ref.task];
--- a/src/controller/stop_sender.cpp
+++ b/src/controller/stop_sender.cpp
@@ -35,7 +35,7 @@
 
 void StopSender::flush_queued(bool to_silent_machines, size_t max_sockets) {
     for (auto it = queued_.begin(); it != queued_.end() && *flush_sockets_ < max_sockets;) {
-        const auto* machine = context_.cluster.machines[it->first].get();
+        auto* machine = context_.cluster.machines[it->first].get();
         if (!machine || !machine->up || machine->addr.empty()) {
             it = queued_.erase(it);
             continue;
@@ -44,6 +44,7 @@
             ++it;
             continue;
         }
+        machine->commands_sent_at = context_.now;
         start_sending(
             {machine->addr, machine->relayed_by, false},
             command_request(context_.term->fencing_token, machine->agent_epoch, it->second),
@@ -67,7 +68,7 @@
     for (size_t checked = 0; checked < count && may_repeat_another(); ++checked) {
         repeat_cursor_ = (repeat_cursor_ + 1) % count;
         auto index = static_cast<Index>(repeat_cursor_);
-        const auto* machine = context_.cluster.machines[index].get();
+        auto* machine = context_.cluster.machines[index].get();
         if (!machine || next_repeat_at_.contains(index) || !needs_repeated_stops(*machine))
             continue;
         uint64_t agent_epoch = latest_agent_epoch(*machine);
@@ -75,6 +76,7 @@
         if (commands.empty()) continue;
         next_repeat_at_[index] = context_.now + context_.settings.heartbeat_interval_s;
         ++repeated_in_interval_;
+        machine->commands_sent_at = context_.now;
         context_.metrics.increment("stops_repeated_total");
         start_sending({machine->addr, machine->relayed_by, true},
                       command_request(context_.term->fencing_token, agent_epoch, commands),
--- a/src/liveness/downlink.cpp
+++ b/src/liveness/downlink.cpp
@@ -40,6 +40,14 @@
     return now < valid_until ? DownlinkEvidence::Lost : DownlinkEvidence::None;
 }
 
+// Returns whether the worker has reported elsewhere since its last heartbeat here was answered.
+// With that answer it would have stayed, and its next heartbeat would be the next in sequence.
+bool departed_after_answer(const DownlinkState& state, const DownlinkObservation& heartbeat) {
+    return state.answered_at > 0 && state.answered == state.last_heartbeat &&
+           heartbeat.order.agent_epoch == state.answered.agent_epoch &&
+           heartbeat.order.seq > state.answered.seq + 1;
+}
+
 // Returns whether the epoch has lasted longer than a lease, which is only possible if the worker
 // receives responses.
 bool epoch_outlived_lease(const DownlinkState& state, const DownlinkObservation& heartbeat,
@@ -51,6 +59,14 @@
     return now - state.epoch_started_at > max_epoch_s;
 }
 
+// After commands nothing follows from the sequence, and what was known before remains.
+void observe_departure(DownlinkState& state, const DownlinkObservation& heartbeat) {
+    if (!heartbeat.commands_sent)
+        state.departures = departed_after_answer(state, heartbeat) ? state.departures + 1 : 0;
+    if (state.departures == 0) state.served_at = state.answered_at;
+    state.last_heartbeat = heartbeat.order;
+}
+
 }  // namespace
 
 DownlinkEvidence classify_evidence(const DownlinkState& before,
@@ -74,6 +90,7 @@
 bool observe_heartbeat(DownlinkState& state, const DownlinkObservation& heartbeat,
                        const Settings& s, double now) {
     auto evidence = classify_evidence(state, heartbeat, s, now);
+    observe_departure(state, heartbeat);
     state.consecutive_direct =
         uses_only_this_controller(state, heartbeat, s, now) ? state.consecutive_direct + 1 : 0;
     state.last_direct_at = heartbeat.direct ? now : 0;
--- a/src/liveness/downlink.h
+++ b/src/liveness/downlink.h
@@ -26,6 +26,10 @@
     uint32_t missed_answers = 0;  // consecutive responses that the worker did not receive
     // Consecutive heartbeats that the worker would not send without receiving responses.
     uint32_t consecutive_direct = 0;
+    // Consecutive answered heartbeats after which the worker reported to another controller.
+    uint32_t departures = 0;
+    HeartbeatOrder last_heartbeat;
+    double served_at = 0;         // the last response that the worker did not leave after
     double lost_since = 0;        // 0: the worker receives responses, as far as is known
     uint64_t agent_epoch = 0;     // of the last heartbeat
     double epoch_started_at = 0;  // arrival of the first heartbeat of that epoch
@@ -41,6 +45,9 @@
     uint32_t return_count = 0;
     double return_candidate_at = 0;
     bool downlink_lost() const { return lost_since > 0; }
+    // The worker keeps leaving this controller although its heartbeats are answered, so it is not
+    // served here. A single answer may be lost or come too late.
+    bool leaves_after_answers() const { return departures >= 2; }
 };
 
 // What a heartbeat shows that is newer than all earlier ones.
@@ -52,6 +59,8 @@
     bool launch_confirmed = false;
     // Of the tasks launched with responses to earlier heartbeats, at least one is not reported.
     bool launch_missing = false;
+    // Commands were sent to the worker lately; its responses to them also increase `seq`.
+    bool commands_sent = false;
 };
 
 enum class DownlinkEvidence : uint8_t {
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -44,9 +44,10 @@
     LinkStatus links;
     for (auto& m : cluster.machines) {
         if (!m || m->last_heartbeat <= 0) continue;
-        bool direct = m->last_direct_heartbeat > 0 &&
+        bool served = !m->downlink.leaves_after_answers();
+        bool direct = served && m->last_direct_heartbeat > 0 &&
                       now - m->last_direct_heartbeat < times.direct_heartbeat_s;
-        bool reached = now - m->last_heartbeat < times.direct_heartbeat_s;
+        bool reached = served && now - m->last_heartbeat < times.direct_heartbeat_s;
         bool known = now - m->last_heartbeat < lease_s;
         links.direct_workers += direct;
         links.reachable_workers += reached;
@@ -64,9 +65,11 @@
         double silent_s = now - machine->last_heartbeat;
         if (silent_s >= lease_s) continue;
         ++leases.known_workers;
-        if (silent_s < times.direct_heartbeat_s) continue;
+        bool served = !machine->downlink.leaves_after_answers();
+        if (served && silent_s < times.direct_heartbeat_s) continue;
         ++leases.unreached_workers;
-        first_expiry_s = std::min(first_expiry_s, lease_s - silent_s);
+        double renewed_at = served ? machine->last_heartbeat : machine->downlink.served_at;
+        first_expiry_s = std::min(first_expiry_s, std::max(0.0, renewed_at + lease_s - now));
     }
     // Workers that this leader has not heard may hold leases of an earlier term.
     leases.first_expiry_s = leases.known_workers > 0 ? first_expiry_s : 0;
@@ -244,9 +247,8 @@
     if (delay_s > 0 && now >= next_delay_log_at_) {
         next_delay_log_at_ = now + kDelayLogInterval_s;
         spdlog::info(
-            "links: transfer to {} is held back for {:.1f}s, {} transfers in short succession: {} "
-            "of "
-            "{} workers not reached, the first lease expires in {:.1f}s",
+            "links: transfer to {} is held back for {:.1f}s, {} transfers in short succession: "
+            "{} of {} workers not reached, the first lease expires in {:.1f}s",
             candidate_, delay_s, last_transfer_.count, leases.unreached_workers,
             leases.known_workers, leases.first_expiry_s);
     }
@@ -255,7 +257,7 @@
 
 asio::awaitable<void> Membership::consider_transfer(double now) {
     auto term = hooks_.leading_term();
-    if (!candidate_is_stable(now)) co_return;
+    if (!term || !candidate_is_stable(now)) co_return;
     auto own = own_links(now);
     co_await read_transfer_record(kRequestTimeout_s);
     if (!reaches_kv(steady_now())) co_return;
--- a/src/state/machine.h
+++ b/src/state/machine.h
@@ -34,6 +34,7 @@
     double last_heartbeat = 0, last_answer = 0;
     double last_direct_heartbeat = 0;  // last heartbeat that reached this controller unrelayed
     std::string relayed_by;            // controller that relayed the last heartbeat; empty: none
+    double commands_sent_at = -1e9;    // last call of this leader to the worker's /commands
     double interruption_at = -1;       // announced interruption of a spot instance; < 0: none
 
     // Reported by the cloud.
--- a/tests/downlink_test.cpp
+++ b/tests/downlink_test.cpp
@@ -36,6 +36,57 @@
     return {{}, saw_fencing_token, direct, launch_confirmed, launch_missing};
 }
 
+TEST(DownlinkState, WorkerThatLeavesAfterAnswersIsNotServed) {
+    // Guards against a leader that takes heartbeats whose answers are lost for workers it reaches.
+    struct Step {
+        double after_s;
+        uint64_t agent_epoch, seq;
+        bool commands_sent = false;
+    };
+    struct Row {
+        const char* name;
+        std::vector<Step> steps;
+        bool leaves;
+        double served_at;  // -1: not checked
+    };
+    const Row rows[] = {
+        {"stays", {{0, 1, 1}, {8, 1, 2}, {8, 1, 3}, {8, 1, 4}}, false, 116},
+        {"one answer lost", {{0, 1, 1}, {8, 1, 2}, {7, 1, 5}}, false, 100},
+        {"one answer lost, then it stays", {{0, 1, 1}, {7, 1, 4}, {8, 1, 5}}, false, 107},
+        {"two in a row", {{0, 1, 1}, {8, 1, 2}, {7, 1, 5}, {7, 1, 8}}, true, 100},
+        {"answers arrive again", {{0, 1, 1}, {7, 1, 4}, {7, 1, 7}, {8, 1, 8}}, false, 114},
+        {"commands explain the gaps",
+         {{0, 1, 1}, {8, 1, 4, true}, {8, 1, 7, true}, {8, 1, 9, true}},
+         false,
+         -1},
+        {"commands neither show nor hide it",
+         {{0, 1, 1}, {7, 1, 4}, {7, 1, 7}, {7, 1, 10, true}},
+         true,
+         -1},
+        {"a new agent epoch starts over", {{0, 1, 1}, {7, 1, 4}, {7, 2, 9}}, false, -1},
+    };
+    for (auto& row : rows) {
+        DownlinkFixture fixture;
+        for (auto& step : row.steps) {
+            auto observation = make_observation(true, true);
+            observation.commands_sent = step.commands_sent;
+            (void)fixture.send_heartbeat(step.after_s, step.agent_epoch, step.seq, observation);
+        }
+        EXPECT_EQ(fixture.downlink.leaves_after_answers(), row.leaves) << row.name;
+        if (row.served_at >= 0) {
+            EXPECT_EQ(fixture.downlink.served_at, row.served_at) << row.name;
+        }
+    }
+    // A heartbeat that was not answered shows nothing by the next one's place in the sequence.
+    DownlinkFixture fixture;
+    for (uint64_t seq : {1, 4, 7, 10}) {
+        DownlinkObservation observation = make_observation(true, true);
+        observation.order = {1, seq};
+        (void)observe_heartbeat(fixture.downlink, observation, fixture.settings, fixture.now);
+    }
+    EXPECT_FALSE(fixture.downlink.leaves_after_answers());
+}
+
 TEST(DownlinkState, FollowsFromHeartbeats) {
     struct Step {
         double after_s;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -203,6 +203,18 @@
     EXPECT_EQ(stake().known_workers, 4u);
     EXPECT_EQ(stake().unreached_workers, 2u);
     EXPECT_NEAR(stake().first_expiry_s, 2, 1e-6);
+    // A worker whose answers are lost is heard and still loses its lease.
+    auto& left = *w.cluster.machines[0];
+    left.last_direct_heartbeat = w.now;
+    auto links = leader_links(w.cluster, times, w.settings.lease_s, w.now);
+    left.downlink.departures = 2;
+    left.downlink.served_at = w.now - w.settings.lease_s + 1;
+    EXPECT_EQ(stake().unreached_workers, 3u);
+    EXPECT_NEAR(stake().first_expiry_s, 1, 1e-6);
+    auto without = leader_links(w.cluster, times, w.settings.lease_s, w.now);
+    EXPECT_EQ(without.direct_workers + 1, links.direct_workers);
+    EXPECT_EQ(without.reachable_workers + 1, links.reachable_workers);
+    EXPECT_EQ(without.known_workers, links.known_workers);
 }
 
 TEST(LeadershipTransfer, LaterTransferCounts) {
