Review: machines that are up at the start are listed from the start (stand-in)

Cause: the stand-in's first machine list was empty, so machines of long standing looked new for 5 s. Change: the first list holds them. Result: the leader sees their age with its first list.

--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -242,6 +242,9 @@
         await self.cloud.start(names)
         for rig, zone, spot, age_s in initial_machines:
             self.cloud.new_machine(rig, zone, spot, age_s, 0.0)
+        await asyncio.sleep(0.2)
+        self.cloud.history.clear()  # machines that were there before are listed from the start
+        self.cloud.snapshot()
         for n in self.nodes:
             self.start_node(n)
         asyncio.ensure_future(self.check_loop())
