--- a/review/standins/platform_services.py
+++ b/review/standins/platform_services.py
@@ -175,7 +175,7 @@
 class Cloud:
     """Rents machines. `capacity`: (type, zone, spot) -> how many machines there are at most."""
 
-    def __init__(self, world, types, capacity, list_lag_s=5.0, boot_s=1.5, latency_s=0.05):
+    def __init__(self, world, types, capacity, list_lag_s=5.0, boot_s=1.5, latency_s=0.02):
         self.world, self.types, self.capacity = world, types, capacity
         self.list_lag_s, self.boot_s, self.latency_s = list_lag_s, boot_s, latency_s
         self.outage = False
@@ -184,7 +184,8 @@
         self.history = []  # (time, list)
         self.next_number = 1
         self.ports, self.servers = {}, []
-        self.returns = []  # (time, controller, names)
+        self.returns = []  # (time, controller, names, tasks that ran there)
+        self.on_refused_return = None  # hook: called when a return is refused
 
     async def start(self, controllers):
         for c in controllers:
@@ -231,12 +232,15 @@
         if url.path.startswith("/machines") and method == "POST":
             self.world.note("cloud", f"from {controller}: POST {url.path} {body.decode()}" + (" -> 503" if self.outage else ""))
         if self.outage:
+            if url.path == "/machines/return" and self.on_refused_return:
+                self.on_refused_return()
             return Reply(503, {"error": "trouble"})
         if url.path == "/machine_types":
             return Reply(200, {"rigs": self.types})
         if url.path == "/machines/return":
             names = json.loads(body)["millstones"]
-            self.returns.append((time.monotonic(), controller, names))
+            running = [t.lot for w, t in self.world.present() if w.name in names and t.state == "running"]
+            self.returns.append((time.monotonic(), controller, names, running))
             for n in names:
                 if self.machines.pop(n, None) is not None:
                     self.world.machine_gone(n, f"returned by {controller}")
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -30,6 +30,7 @@
         self.name, self.zone, self.api, self.peer = name, zone, api, peer
         self.api_for_workers = api
         self.process = None
+        self.healthy, self.probes = True, []
 
 
 class Job:
@@ -77,7 +78,10 @@
         self.note("BROKEN", f"{rule}: {text}")
 
     def present(self):
+        now = time.monotonic()
         for w in self.workers.values():
+            if w.hung and now - w.lease_from > self.lease_s:
+                continue  # it may go on within its lease only: its tasks have ended
             for t in w.tasks.values():
                 if t.state in PRESENT:
                     yield w, t
@@ -115,8 +119,6 @@
             await asyncio.sleep(0.1)
             now = time.monotonic()
             for w, t in list(self.present()):
-                if w.hung and now - w.lease_from > self.lease_s:
-                    continue
                 c = t.job.cancelled_at
                 if c is not None and now - c > self.cancel_s and (w.name, t.lot) not in reported:
                     reported.add((w.name, t.lot))
@@ -247,8 +249,21 @@
         self.cloud.snapshot()
         for n in self.nodes:
             self.start_node(n)
+            asyncio.ensure_future(self.probe_loop(n))
         asyncio.ensure_future(self.check_loop())
 
+    async def probe_loop(self, node):
+        """The load balancer's health checks."""
+        removed_at = 0.0
+        while True:
+            answer = await Client(node.api).request("GET", "/healthz", None, 1.0)
+            node.probes = (node.probes + [bool(answer and answer[0] == 200)])[-6:]
+            if node.healthy and (node.probes[-2:] == [False, False] or node.probes.count(False) >= 3):
+                node.healthy, removed_at = False, time.monotonic()
+            elif not node.healthy and node.probes[-2:] == [True, True] and time.monotonic() - removed_at >= 3:
+                node.healthy, node.probes = True, []
+            await asyncio.sleep(1.0)
+
     async def leader(self, timeout=15.0, other_than=None):
         """Waits until a controller holds the key `leader` and answers a poll of an unknown job with 404."""
         end = time.monotonic() + timeout
@@ -284,7 +299,7 @@
                 "tally_s": 0.0, "bank_s": 0.0, "due_s": None, **fields}
 
     async def ask(self, method, path, body=None, node=None, timeout=5.0):
-        node = node or random.choice(self.nodes)
+        node = node or random.choice([n for n in self.nodes if n.healthy] or self.nodes)
         return await Client(node.api).request(method, path, body, timeout), node
 
     def told(self, job, status, node):
