--- a/review/standins/platform_services.py
+++ b/review/standins/platform_services.py
@@ -19,6 +19,7 @@
         self.revision, self.next_lease = 0, 1
         self.outage = False
         self.refused = set()  # controllers whose requests are answered 503
+        self.held = set()  # controllers whose requests arrive once the cut ends
         self.ports, self.servers = {}, []
         self.changed = asyncio.Event()
         self.on_txn = None  # hook: async (controller, txn) -> "late" | "lost" | None
@@ -66,6 +67,8 @@
         url = urlsplit(target)
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
         path = url.path
+        while controller in self.held:
+            await asyncio.sleep(0.05)
         if path == "/follow":
             return await self.follow(controller, query)
         await asyncio.sleep(self.latency_s)
--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -27,6 +27,7 @@
         self.lease_from = time.monotonic()
         self.gone = self.hung = False
         self.uplink_lost = self.downlink_lost = False
+        self.blocked = set()  # names of controllers that it can't reach
         self.change = asyncio.Event()
         self.last_token_change = 0.0
         self.recall_at = None
@@ -96,6 +97,9 @@
             shift, sent = self.shift, time.monotonic()
             if self.uplink_lost:
                 answer = None
+            elif node.name in self.blocked:
+                await asyncio.sleep(4.0)
+                answer = None
             else:
                 answer = await client.request("POST", "/v1/report", self.report(), 4.0)
             while self.hung and not self.gone:
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -315,11 +315,20 @@
             job.cancelled_at = now
             if job.cancel_asked_at is None and not self.ancestor_cancelled(job):
                 self.violate("went_back", f"{id_} is called aborted, its user did not cancel it")
+        if status in ("queued", "running") and self.cancelled_before(job, now - self.cancel_s):
+            self.violate("orphaned", f"{id_} is called {status}, a job before it was called aborted more than cancel_s ago")
         if status == "done" and job.told_done_at is None:
             job.told_done_at = now
             if len(job.results) < job.spec["lots"]:
                 self.violate("not_done", f"{id_} is called done with {len(job.results)} of {job.spec['lots']} tasks complete")
 
+    def cancelled_before(self, job, at):
+        for d in job.spec.get("awaits") or []:
+            other = self.jobs[d]
+            if (other.cancelled_at is not None and other.cancelled_at < at) or self.cancelled_before(other, at):
+                return True
+        return False
+
     def ancestor_cancelled(self, job):
         for d in job.spec.get("awaits") or []:
             other = self.jobs[d]
