--- a/review/standins/platform_services.py
+++ b/review/standins/platform_services.py
@@ -22,6 +22,9 @@
         self.held = set()  # controllers whose requests arrive once the cut ends
         self.ports, self.servers = {}, []
         self.changed = asyncio.Event()
+        self.rps = self.write_rps = None  # limits; None: not enforced
+        self.tokens = {}  # limit: [tokens, time of the last refill]
+        self.refused_for_rate = 0
         self.on_txn = None  # hook: async (controller, txn) -> "late" | "lost" | None
 
     async def start(self, controllers):
@@ -60,6 +63,18 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def over_rate(self, name, rate, amount):
+        """Token bucket with a burst of one second's worth."""
+        if rate is None:
+            return False
+        now = time.monotonic()
+        tokens, at = self.tokens.get(name, (rate, now))
+        tokens = min(rate, tokens + (now - at) * rate)
+        over = tokens < amount
+        self.tokens[name] = (tokens if over else tokens - amount, now)
+        self.refused_for_rate += over
+        return over
+
     def refuses(self, controller):
         return self.outage or controller in self.refused
 
@@ -69,6 +84,8 @@
         path = url.path
         while controller in self.held:
             await asyncio.sleep(0.05)
+        if self.over_rate("requests", self.rps, 1):
+            return Reply(429)
         if path == "/follow":
             return await self.follow(controller, query)
         await asyncio.sleep(self.latency_s)
@@ -76,6 +93,8 @@
             return Reply(503)
         if path == "/multi" and method == "POST":
             txn = json.loads(body)
+            if self.over_rate("changes", self.write_rps, len(txn.get("then", []))):
+                return Reply(429)
             verdict = await self.on_txn(controller, txn) if self.on_txn else None
             if verdict == "drop":
                 return Reply(503, drop=True)
--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -28,6 +28,7 @@
         self.gone = self.hung = False
         self.uplink_lost = self.downlink_lost = False
         self.blocked = set()  # names of controllers that it can't reach
+        self.deaf_to = set()  # names of controllers whose answers are lost
         self.change = asyncio.Event()
         self.last_token_change = 0.0
         self.recall_at = None
@@ -108,7 +109,7 @@
                 return
             if time.monotonic() - sent > 4.0:
                 answer = None
-            if self.downlink_lost and answer is not None:
+            if (self.downlink_lost or node.name in self.deaf_to) and answer is not None:
                 await asyncio.sleep(max(0.0, sent + 4.0 - time.monotonic()))
                 answer = None
             self.check_lease()
