--- a/review/standins/proxy.py
+++ b/review/standins/proxy.py
@@ -29,7 +29,10 @@
             writer.transport.abort()
             return
         self.writers |= {writer, up_writer}
-        await asyncio.gather(self.pump(reader, up_writer), self.pump(up_reader, writer))
+        try:
+            await asyncio.gather(self.pump(reader, up_writer), self.pump(up_reader, writer))
+        except asyncio.CancelledError:
+            pass  # the script ends
         self.writers -= {writer, up_writer}
 
     async def pump(self, reader, writer):
--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -48,9 +48,6 @@
         self.tasks.clear()
         self.server.close()
 
-    def lot(self, task):
-        return task.lot
-
     # Leases and reports.
 
     async def lease_loop(self):
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -43,12 +43,13 @@
 
 
 class World:
-    def __init__(self, record, zones=("a",), teams=(), workers=None, state=None, cloud=None, resources=None, types=(), capacity=None,
-                 boot_s=1.5, list_lag_s=5.0, controllers=3, objectives=()):
+    def __init__(self, record, zones=("a",), teams=(), workers=None, state=None, cloud=None, resources=None, types=(),
+                 capacity=None, boot_s=1.5, list_lag_s=5.0, controllers=3, objectives=()):
         self.record = open(record, "w", encoding="utf-8")
         self.t0 = time.monotonic()
         self.zones, self.teams = list(zones), list(teams)
-        self.params = {"report_s": 2.5, "lease_s": 18.0, "gang_wait_s": 30.0, "gang_peer_s": 5.0, "cancel_s": 38.0, **(workers or {})}
+        self.params = {"report_s": 2.5, "lease_s": 18.0, "gang_wait_s": 30.0, "gang_peer_s": 5.0, "cancel_s": 38.0,
+                       **(workers or {})}
         self.report_s, self.lease_s, self.cancel_s = (self.params[k] for k in ("report_s", "lease_s", "cancel_s"))
         self.state_limits = {"rps": 120.0, "write_rps": 40.0, "value_kb": 32.0, "txn_ops": 24, **(state or {})}
         self.cloud_limits = {"rps": 8.0, "list_lag_s": list_lag_s, **(cloud or {})}
@@ -62,7 +63,8 @@
         self.gangs = {}
         self.dir = tempfile.TemporaryDirectory()
         ports = free_ports(2 * controllers)
-        self.nodes = [Node(f"millstone-{i}", self.zones[i % len(self.zones)], ports[2 * i], ports[2 * i + 1]) for i in range(controllers)]
+        self.nodes = [Node(f"millstone-{i}", self.zones[i % len(self.zones)], ports[2 * i], ports[2 * i + 1])
+                      for i in range(controllers)]
 
     # The record and the rules.
 
@@ -98,10 +100,11 @@
         for field, limit in (("cores", "cpus_max"), ("accelerators", "gpus_max")):
             used = job.spec[field] + sum(t.job.spec[field] for _, t in others if t.job.spec["consignor"] == team["name"])
             if team.get(limit, 0) > 0 and used > team[limit] + 1e-6:
-                self.violate("quota", f"{team['name']} uses {used} of {team[limit]} {field} as {task.lot} starts on {worker.name}")
+                self.violate("quota", f"{team['name']} uses {used} of {team[limit]} {field} as {task.lot} starts")
         m = worker.machine
         siblings = [w.machine["yard"] for w, t in others if t.job is job]
-        wrong = (job.spec.get("rigs") and m["rig"] not in job.spec["rigs"]) or (job.spec.get("yard") and job.spec["yard"] != m["yard"])
+        wrong = job.spec.get("rigs") and m["rig"] not in job.spec["rigs"]
+        wrong = wrong or (job.spec.get("yard") and job.spec["yard"] != m["yard"])
         wrong = wrong or (m["loaners"] and not job.spec["loaners"])
         wrong = wrong or (job.spec["same_place"] and any(z != m["yard"] for z in siblings))
         wrong = wrong or (job.spec["scatter"] and siblings.count(m["yard"]) + 1 > (job.spec["lots"] + 1) // 2)
@@ -202,8 +205,9 @@
             if other is not node:
                 addr = getattr(node, "routes", {}).get(other.name, other.peer)
                 lines += ["[[seeds]]", f'host_name = "{other.name}"', f'site = "{other.zone}"', f'addr = "127.0.0.1:{addr}"']
-        lines += ["[external]", f'cloud = "127.0.0.1:{self.cloud.ports[node.name]}"', f'state = "127.0.0.1:{self.state.ports[node.name]}"',
-                  "[deployment]", f"initial_size = {len(self.nodes)}", f"zones = {self.zones!r}".replace("'", '"'), "clock_off_ms = 100.0"]
+        lines += ["[external]", f'cloud = "127.0.0.1:{self.cloud.ports[node.name]}"',
+                  f'state = "127.0.0.1:{self.state.ports[node.name]}"', "[deployment]", f"initial_size = {len(self.nodes)}",
+                  f"zones = {self.zones!r}".replace("'", '"'), "clock_off_ms = 100.0"]
         for team in self.teams:
             lines += ["[[deployment.teams]]"] + [f"{k} = {v!r}".replace("'", '"') for k, v in team.items()]
         for o in self.objectives:
@@ -294,8 +298,8 @@
 
     def spec(self, number, **fields):
         return {"name_id": f"req-{number:06d}", "lot_class": "work", "consignor": self.teams[0]["name"], "sale_kind": "array",
-                "urgency": "normal", "lots": 1, "cores": 1.0, "accelerators": 0.0, "mem_gb": 2.0, "bundle": "img-1", "size_gb": 0.1,
-                "rigs": None, "yard": None, "same_place": False, "scatter": False, "loaners": True, "expected_s": 10.0,
+                "urgency": "normal", "lots": 1, "cores": 1.0, "accelerators": 0.0, "mem_gb": 2.0, "bundle": "img-1",
+                "size_gb": 0.1, "rigs": None, "yard": None, "same_place": False, "scatter": False, "loaners": True, "expected_s": 10.0,
                 "tally_s": 0.0, "bank_s": 0.0, "due_s": None, **fields}
 
     async def ask(self, method, path, body=None, node=None, timeout=5.0):
