--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -299,8 +299,8 @@
     def spec(self, number, **fields):
         return {"name_id": f"req-{number:06d}", "lot_class": "work", "consignor": self.teams[0]["name"], "sale_kind": "array",
                 "urgency": "normal", "lots": 1, "cores": 1.0, "accelerators": 0.0, "mem_gb": 2.0, "bundle": "img-1",
-                "size_gb": 0.1, "rigs": None, "yard": None, "same_place": False, "scatter": False, "loaners": True, "expected_s": 10.0,
-                "tally_s": 0.0, "bank_s": 0.0, "due_s": None, **fields}
+                "size_gb": 0.1, "rigs": None, "yard": None, "same_place": False, "scatter": False, "loaners": True,
+                "expected_s": 10.0, "tally_s": 0.0, "bank_s": 0.0, "due_s": None, **fields}
 
     async def ask(self, method, path, body=None, node=None, timeout=5.0):
         node = node or random.choice([n for n in self.nodes if n.healthy] or self.nodes)
