Review: a script that is ended early ends its controllers too

Cause: SIGTERM left the controllers of a script running. Change: the scripts end through the same path on SIGTERM, with 2.

--- a/review/standins/case_tools.py
+++ b/review/standins/case_tools.py
@@ -1,6 +1,8 @@
 """What the cases share: waiting, and the exit codes 0 (the rule held), 1 (it was broken), 2 (the case could not run)."""
 import asyncio
 import os
+import signal
+import sys
 import time
 import traceback
 
@@ -27,6 +29,7 @@
 
 def exit_code(main):
     """Returns what `main` returns, or 2 if it fails: Python's own exit code 1 would mean a broken rule."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # ended early: main still ends the processes that it started
     try:
         return asyncio.run(main())
     except Exception:
