--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -239,7 +239,8 @@
             if not self.hung:
                 left -= step
         if self.tasks.get(t.lot) is t and t.state == "running":
-            t.job.results[t.lot] = True
+            if not t.job.fails:
+                t.job.results[t.lot] = True
             self.exit(t, "error" if t.job.fails else "done")
 
     def stop_task(self, t, grace_s):
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -159,7 +159,8 @@
             return
         gang["state"] = "done"
         for w, t in gang["members"].values():
-            job.results[t.lot] = True
+            if not job.fails:
+                job.results[t.lot] = True
             w.exit(t, "error" if job.fails else "done")
 
     def gang_broken(self, task):
