--- a/review/standins-2/platform.cpp
+++ b/review/standins-2/platform.cpp
@@ -426,7 +426,15 @@
         boost::system::error_code ec;
         a.open(tcp::v4());
         a.bind(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port), ec);
-        if (!ec && given.insert(port).second) return port;
+        if (ec || !given.insert(port).second) continue;
+        // Two runs at a time don't pick the same port: each holds the UDP port of that number while it runs.
+        static asio::io_context locks;
+        static std::vector<std::unique_ptr<asio::ip::udp::socket>> held;
+        auto lock = std::make_unique<asio::ip::udp::socket>(locks, asio::ip::udp::v4());
+        lock->bind(asio::ip::udp::endpoint(asio::ip::make_address("127.0.0.1"), port), ec);
+        if (ec) continue;
+        held.push_back(std::move(lock));
+        return port;
     }
 }
 }  // namespace
@@ -522,6 +530,7 @@
 
 Async<void> World::crash(int i, double restart_s) {
     auto& c = *controllers[static_cast<size_t>(i)];
+    if (!c.wanted) co_return;
     c.wanted = false;
     stop(c);
     co_await sleep_s(restart_s);
--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -93,6 +93,7 @@
         return n;
     }
     uint64_t malformed = 0;
+    std::map<int, double> changes_by;  // changes asked for and not refused, by node
 
   private:
     struct Item {
@@ -237,7 +238,10 @@
         bool refuses = outage_ || refused.count(node);
         if (path == "/follow") {
             if (refuses) co_return json_reply(503, json::object{});
-            if (!take()) co_return json_reply(429, json::object{});
+            if (!take()) {
+                record_.line("state: 429 to node %d, requests", node);
+                co_return json_reply(429, json::object{});
+            }
             uint64_t from = std::stoull(parameter(r.target, "from"));
             auto prefix = parameter(r.target, "starts");
             auto block = parameter(r.target, "block_ms");
@@ -250,7 +254,10 @@
         }
         co_await sleep_s(latency_s * uniform(0.5, 1.5));
         if (outage_ || refused.count(node)) co_return json_reply(503, json::object{});
-        if (!take()) co_return json_reply(429, json::object{});
+        if (!take()) {
+            record_.line("state: 429 to node %d, requests", node);
+            co_return json_reply(429, json::object{});
+        }
         if (path == "/multi") {
             auto v = json::parse(r.body).as_object();
             if (!within_limits(r.body, v)) {
@@ -258,8 +265,12 @@
                 co_return json_reply(400, json::object{{"error", "too large"}});
             }
             double n = v.contains("then") ? static_cast<double>(v.at("then").as_array().size()) : 0;
-            if (write_tokens_ < n) co_return json_reply(429, json::object{});
+            if (write_tokens_ < n) {
+                record_.line("state: 429 to node %d, %.0f changes, %.1f left", node, n, write_tokens_);
+                co_return json_reply(429, json::object{});
+            }
             write_tokens_ -= n;
+            changes_by[node] += n;
             if (chance(p_late)) {
                 asio::co_spawn(io_, apply_late(r.body, uniform(0.2, late_s)), asio::detached);
                 co_return Reply{0, "", true, 2};
