--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -362,7 +362,7 @@
     int index = 0;
     uint64_t attempt = 0;
     std::string state, cause;
-    bool kept = false, on_machine = false;
+    bool kept = false, on_machine = false, fails = false;  // fails: started while its machine fails what it starts
     double fetched_at = 0, run_from = 0, wait_from = 0, exit_at = 0, stop_at = 0;
     double progress0 = 0;
     std::string name() const { return job + "/" + std::to_string(index); }
